Lay out the workspace, the error kinds, the tables' types and the decision's interface

Cause: the first commit; the packages that several people build on at once need one set of types. Ruled out: a workspace module for each package, because 'go test ./...' at the root stops at module boundaries and would skip them.

--- /dev/null
+++ b/cmd/jacinthramp/commands.go
@@ -0,0 +1,8 @@
+package main
+
+import "github.com/urfave/cli/v3"
+
+// commands lists the subcommands, one constructor a line.
+func commands() []*cli.Command {
+	return []*cli.Command{}
+}
--- /dev/null
+++ b/cmd/jacinthramp/main.go
@@ -0,0 +1,38 @@
+// Command jacinthramp is the operators' command: it edits and watches the
+// tables, and runs the demo, the load generator and the stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+func main() {
+	root := &cli.Command{
+		Name:                  "jacinthramp",
+		Usage:                 "steer traffic between regions with two tables, routes and pools",
+		EnableShellCompletion: true,
+		Commands:              commands(),
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+	}
+	err := root.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "jacinthramp:", err)
+	os.Exit(exitCode(err))
+}
+
+// exitCode returns the exit code of err's kind; an error without a kind comes
+// from the command line's own parsing.
+func exitCode(err error) int {
+	if k := fault.KindOf(err); k != fault.KindNone {
+		return k.Answer().Exit
+	}
+	return fault.ExitUsage
+}
--- /dev/null
+++ b/cmd/jacinthrampd/main.go
@@ -0,0 +1,4 @@
+// Command jacinthrampd is one instance of the traffic steering system.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/decision/steer/types.go
@@ -0,0 +1,161 @@
+// Package steer decides where each request goes. It is pure: the time and
+// the random source are arguments, it starts no goroutine and does no I/O.
+// A Core may be used from several goroutines at once.
+package steer
+
+import (
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Self is the place of the instance that decides.
+type Self struct {
+	Instance string
+	Zone     string
+	Region   string
+}
+
+// Request is what a decision needs to know about one request. The shell owns
+// it for the request's whole life and passes the same one to each decision.
+type Request struct {
+	// Route is the matched row of the tables in force.
+	Route *table.Route
+	// Pool is set when another instance has chosen the pool already; the
+	// request must then be served in this zone or refused.
+	Pool string
+	// Member is the member on whose behalf the caller asks; it is used for
+	// fairness only.
+	Member string
+	// Idempotent says whether the request may run more than once.
+	Idempotent bool
+	// Fingerprint identifies repeats of the same request for the poison
+	// check. Zero switches the check off.
+	Fingerprint uint64
+	// BodyBytes is the announced size of the body, or -1.
+	BodyBytes int64
+	// Arrived is the time of arrival; Deadline ends the request.
+	Arrived  time.Time
+	Deadline time.Time
+
+	// Attempts counts the dispatches and hops made so far.
+	Attempts int
+	// tried holds the targets and zones that must not be chosen again.
+	tried      [maxAttempts]string
+	triedCount int
+}
+
+// maxAttempts bounds the dispatches and hops of one request.
+const maxAttempts = 4
+
+// Exclude keeps name, a target or a zone, from being chosen again for r.
+func (r *Request) Exclude(name string) {
+	if r.triedCount < len(r.tried) {
+		r.tried[r.triedCount] = name
+		r.triedCount++
+	}
+}
+
+// Excluded reports whether name must not be chosen again for r.
+func (r *Request) Excluded(name string) bool {
+	for _, t := range r.tried[:r.triedCount] {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdict is the kind of a decision.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refuse: answer with Decision.Kind at once.
+	Refuse Verdict = iota
+	// Dispatch: send to Decision.Target, then call Done.
+	Dispatch
+	// Hop: pass to an instance of Decision.Zone, then call Done.
+	Hop
+	// Wait: the request is queued under Decision.Ticket. A later Wakeup
+	// carries its final decision; Cancel takes it out.
+	Wait
+)
+
+// Decision is the answer to Decide.
+type Decision struct {
+	Verdict Verdict
+	// Kind and RetryAfter are set with Refuse.
+	Kind       fault.Kind
+	RetryAfter time.Duration
+	// Pool is the chosen pool with Dispatch, Hop and Wait.
+	Pool string
+	// Target and Address are set with Dispatch.
+	Target  string
+	Address string
+	// Zone is set with Hop.
+	Zone string
+	// Ticket is set with Wait.
+	Ticket uint64
+
+	// slot refers to the counters that Done gives back.
+	slot *slot
+}
+
+// Wakeup is the final decision on a request that waited.
+type Wakeup struct {
+	Ticket   uint64
+	Decision Decision
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	// Kind is fault.KindNone when the target answered.
+	Kind fault.Kind
+	// Latency is from the dispatch to the first byte of the answer.
+	Latency time.Duration
+	// Leaving is set when the target said that it is leaving.
+	Leaving bool
+}
+
+// Shares is what this instance may use at present. The sum over all
+// instances of a zone never exceeds the tables' limits.
+type Shares struct {
+	// Expires ends the lease: nothing is dispatched at or after it.
+	Expires time.Time
+	// Slots is the share of each target's slots, by target name.
+	Slots map[string]int
+	// Regions is the share of each region's limit, by region name.
+	Regions map[string]int
+}
+
+// LoadReport is a target's report about itself, which may be late or wrong.
+type LoadReport struct {
+	Target string
+	// At is when the report was asked for.
+	At       time.Time
+	InFlight int
+	Slots    int
+	Queued   int
+	Leaving  bool
+	// Healthy is false when the health endpoint failed.
+	Healthy bool
+	// Incarnation changes each time the target starts.
+	Incarnation string
+}
+
+// ZoneSummary is another zone's headroom for one pool.
+type ZoneSummary struct {
+	Zone string
+	Pool string
+	// At is when the summary was made.
+	At time.Time
+	// Free and Slots are counts over the zone's targets of the pool.
+	Free  int
+	Slots int
+	// Queued is the number of waiting requests.
+	Queued int
+	// LatencyEstimate is the mean service time of the pool in the zone.
+	LatencyEstimate time.Duration
+}
