Let the decision say whether a request may be retried

Cause: the path needs one place that answers this. Change: MayRetry, without a budget yet. Result: vet passes; no behaviour is measured yet.

--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -165,3 +165,13 @@
 
 // ObserveZone takes in another zone's summary.
 func (c *Core) ObserveZone(_ time.Time, _ ZoneSummary) {}
+
+// MayRetry reports whether r may be decided again after an attempt that ended
+// with res: only when it is idempotent or was not run, within the attempts,
+// the deadline and the retry budget.
+func (c *Core) MayRetry(now time.Time, r *Request, res Result) bool {
+	if res.Kind == fault.KindNone || r.Attempts >= maxAttempts || !now.Before(r.Deadline) {
+		return false
+	}
+	return r.Idempotent || res.Kind.Answer().Outcome == fault.NotRun
+}
