Speak to the platform over HTTP and stand in for it

Cause: everything that lasts lives in the platform's services, so the client and something to try it against come first.

Weighed: one ambiguous error for every failed transaction, or one only when a connection was had. A refused connection can't have written anything, so it is store-unavailable; from the moment a connection was had, a missing answer is store-ambiguous. The transport repeats a POST only when none of it was written, and each try starts the mark afresh. The store's delay is put half before and half after the effect, so that a caller that gives up sees both.

Change: a client for the three interfaces with conditional requests; an in-memory store that implements them in process and over HTTP, with an outage, silence, delay, lost answers, lost transactions, rates, a lagging and a frozen list; `jacinthramp standin platform` with strict settings.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -4,5 +4,7 @@
 
 // commands lists the subcommands, one constructor a line.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		standinCommand(),
+	}
 }
--- /dev/null
+++ b/cmd/jacinthramp/standin.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+)
+
+// configFlag names the settings file of a stand-in.
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "settings `FILE` in YAML", Required: true}
+}
+
+// standinCommand runs the stand-ins for what surrounds the instances.
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in for the platform or for targets, for trials on loopback",
+		Commands: []*cli.Command{
+			standinPlatformCommand(),
+		},
+	}
+}
+
+// standinPlatformCommand runs the stand-in for the platform.
+func standinPlatformCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "platform",
+		Usage:       "table service, object store and list of instances, in memory",
+		Description: "Example:\n\n    jacinthramp standin platform --config examples/platform.yaml",
+		Flags:       []cli.Flag{configFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := platform.LoadSettings(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			return platform.Run(ctx, settings, func(address string) {
+				fmt.Fprintf(os.Stderr, "platform stand-in listens on %s\n", address)
+			})
+		},
+	}
+}
+
+// untilSignal returns a context that ends with SIGINT or SIGTERM.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/pkg/peer/platform/http.go
@@ -0,0 +1,220 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// Paths of the platform's HTTP interface.
+const (
+	PathRows      = "/v1/rows"
+	PathCommit    = "/v1/commit"
+	PathObjects   = "/v1/objects"
+	PathInstances = "/v1/instances"
+)
+
+// HeaderModified carries the platform's time of a row's last write, in the
+// form time.RFC3339Nano.
+const HeaderModified = "Platform-Modified"
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 256 << 20
+
+// CommitRequest is the JSON body of a transaction.
+type CommitRequest struct {
+	Writes []Write `json:"writes"`
+}
+
+// CommitAnswer is the JSON body of a transaction's answer.
+type CommitAnswer struct {
+	// ETags are the new ETags in the order of the writes.
+	ETags []string `json:"etags"`
+}
+
+// Client speaks to the platform over HTTP. It implements Tables, Objects and
+// Instances, and may be used from several goroutines at once. It sets no
+// timeout of its own: each call ends with its context.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var (
+	_ Tables    = (*Client)(nil)
+	_ Objects   = (*Client)(nil)
+	_ Instances = (*Client)(nil)
+)
+
+// NewClient returns a client of the platform at base, such as
+// "http://127.0.0.1:7400". A nil rt means a transport of the client's own.
+func NewClient(base string, rt http.RoundTripper) *Client {
+	if rt == nil {
+		rt = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: rt}}
+}
+
+// Close drops the client's idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Tables.
+func (c *Client) Get(ctx context.Context, key, ifNoneMatch string) (Row, bool, error) {
+	header := http.Header{}
+	if ifNoneMatch != "" {
+		header.Set("If-None-Match", ifNoneMatch)
+	}
+	ans, err := c.do(ctx, http.MethodGet, PathRows+"/"+escapePath(key), header, nil)
+	if err != nil {
+		return Row{}, false, err
+	}
+	switch ans.status {
+	case http.StatusNotModified:
+		return Row{}, false, nil
+	case http.StatusNotFound:
+		return Row{Key: key}, ifNoneMatch != "", nil
+	case http.StatusOK:
+	default:
+		return Row{}, false, ans.refusal()
+	}
+	modified, err := time.Parse(time.RFC3339Nano, ans.header.Get(HeaderModified))
+	if err != nil {
+		return Row{}, false, fault.Wrap(fault.KindStoreUnavailable, err, "row %s has no valid time of change", key)
+	}
+	etag := ans.header.Get("ETag")
+	if etag == "" {
+		return Row{}, false, fault.New(fault.KindStoreUnavailable, "row %s has no ETag", key)
+	}
+	return Row{Key: key, ETag: etag, Value: ans.body, ModifiedAt: modified}, true, nil
+}
+
+// List implements Tables.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []Row
+	err := c.getJSON(ctx, PathRows+"?prefix="+url.QueryEscape(prefix), &rows)
+	return rows, err
+}
+
+// Commit implements Tables.
+func (c *Client) Commit(ctx context.Context, writes []Write) ([]string, error) {
+	body, err := json.Marshal(CommitRequest{Writes: writes})
+	if err != nil {
+		return nil, fault.Wrap(fault.KindBadRequest, err, "encoding a transaction")
+	}
+	ans, err := c.do(ctx, http.MethodPost, PathCommit, nil, body)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case ans.status == http.StatusOK:
+	case ans.status == http.StatusPreconditionFailed:
+		return nil, fault.New(fault.KindEditConflict, "%s", ans.text())
+	case ans.status >= http.StatusInternalServerError && ans.status != http.StatusServiceUnavailable:
+		return nil, fault.New(fault.KindStoreAmbiguous, "platform answered %d: %s", ans.status, ans.text())
+	default:
+		return nil, ans.refusal()
+	}
+	var got CommitAnswer
+	if err := json.Unmarshal(ans.body, &got); err != nil || len(got.ETags) != len(writes) {
+		return nil, fault.New(fault.KindStoreAmbiguous, "platform's answer to a transaction is not valid")
+	}
+	return got.ETags, nil
+}
+
+// answer is one whole answer of the platform.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// text returns the start of the answer's body for messages.
+func (a answer) text() string {
+	const longest = 200
+	s := strings.TrimSpace(string(a.body))
+	if len(s) > longest {
+		s = s[:longest]
+	}
+	return s
+}
+
+// refusal is the error for an answer that says that nothing was done.
+func (a answer) refusal() error {
+	if a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError &&
+		a.status != http.StatusTooManyRequests {
+		return fault.New(fault.KindBadRequest, "platform answered %d: %s", a.status, a.text())
+	}
+	return fault.New(fault.KindStoreUnavailable, "platform answered %d: %s", a.status, a.text())
+}
+
+// do sends one request and reads its whole answer. Its error is
+// KindStoreAmbiguous when a transaction may have reached the platform, and
+// KindStoreUnavailable otherwise.
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
+	var sent atomic.Bool
+	// The transport repeats a transaction only when nothing of it was written;
+	// each try begins with GetConn.
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, fault.Wrap(fault.KindBadRequest, err, "building a request to the platform")
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	kind := func() fault.Kind {
+		if method == http.MethodPost && sent.Load() {
+			return fault.KindStoreAmbiguous
+		}
+		return fault.KindStoreUnavailable
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{}, fault.Wrap(kind(), err, "asking the platform")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return answer{}, fault.Wrap(kind(), err, "reading the platform's answer")
+	}
+	if len(data) > maxAnswerBytes {
+		return answer{}, fault.New(kind(), "platform's answer is longer than %d bytes", maxAnswerBytes)
+	}
+	return answer{status: resp.StatusCode, header: resp.Header, body: data}, nil
+}
+
+// getJSON reads path into v.
+func (c *Client) getJSON(ctx context.Context, path string, v any) error {
+	ans, err := c.do(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if ans.status != http.StatusOK {
+		return ans.refusal()
+	}
+	if err := json.Unmarshal(ans.body, v); err != nil {
+		return fault.Wrap(fault.KindStoreUnavailable, err, "platform's answer is not valid JSON")
+	}
+	return nil
+}
+
+// escapePath escapes each segment of a key.
+func escapePath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return strings.Join(segments, "/")
+}
--- /dev/null
+++ b/pkg/standin/platform/faults.go
@@ -0,0 +1,185 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Faults are what the store does wrong on purpose. The zero value is a store
+// that works.
+type Faults struct {
+	// Down refuses every call before it takes effect.
+	Down bool `json:"down" yaml:"down"`
+	// Silent leaves every call without an answer until its caller gives up;
+	// nothing takes effect.
+	Silent bool `json:"silent" yaml:"silent"`
+	// Delay is added to every call, half before its effect and half after.
+	Delay table.Duration `json:"delay" yaml:"delay"`
+	// LoseAnswers is how many of the next successful transactions take effect
+	// and lose their answer.
+	LoseAnswers int `json:"lose_answers" yaml:"lose_answers"`
+	// LoseCommits is how many of the next transactions are lost with their
+	// answer and take no effect.
+	LoseCommits int `json:"lose_commits" yaml:"lose_commits"`
+	// ListLag is the age of the list of instances that is served.
+	ListLag table.Duration `json:"list_lag" yaml:"list_lag"`
+	// ListFrozen serves the list as it was when the fault was switched on.
+	ListFrozen bool `json:"list_frozen" yaml:"list_frozen"`
+	// ReadsPerSecond and WritesPerSecond refuse what exceeds them within a
+	// second; zero means no limit.
+	ReadsPerSecond  int `json:"reads_per_second" yaml:"reads_per_second"`
+	WritesPerSecond int `json:"writes_per_second" yaml:"writes_per_second"`
+}
+
+// Stats counts what the store was asked.
+type Stats struct {
+	Reads       uint64 `json:"reads"`
+	Writes      uint64 `json:"writes"`
+	NotModified uint64 `json:"not_modified"`
+	Conflicts   uint64 `json:"conflicts"`
+	Refused     uint64 `json:"refused"`
+	LostAnswers uint64 `json:"lost_answers"`
+	// PeakReads and PeakWrites are the most within one second of the clock.
+	PeakReads  int `json:"peak_reads_per_second"`
+	PeakWrites int `json:"peak_writes_per_second"`
+}
+
+// operation tells reads from writes for the counters.
+type operation uint8
+
+const (
+	read operation = iota
+	write
+)
+
+// window counts the calls of the current second.
+type window struct {
+	second        int64
+	reads, writes int
+}
+
+// Faults returns the faults that are switched on.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setFaults(f)
+}
+
+// Change edits the faults in place.
+func (s *Store) Change(edit func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	edit(&f)
+	s.setFaults(f)
+}
+
+func (s *Store) setFaults(f Faults) {
+	if f.ListFrozen && !s.faults.ListFrozen {
+		s.list.freeze(s.now().Add(-f.ListLag.Std()))
+	}
+	s.faults = f
+}
+
+// Stats returns the counters.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// begin counts a call and applies the faults that come before its effect.
+func (s *Store) begin(ctx context.Context, op operation) error {
+	s.mu.Lock()
+	f := s.faults
+	within := s.count(op)
+	if f.Down || !within {
+		s.stats.Refused++
+	}
+	s.mu.Unlock()
+	if f.Down {
+		return fault.New(fault.KindStoreUnavailable, "store is down")
+	}
+	if !within {
+		return fault.New(fault.KindStoreUnavailable, "too many calls in this second")
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return s.givenUp(ctx, op)
+	}
+	if !sleep(ctx, f.Delay.Std()/2) {
+		return s.givenUp(ctx, op)
+	}
+	return nil
+}
+
+// givenUp is the error of a caller that stopped waiting: it can't know
+// whether a write took effect.
+func (s *Store) givenUp(ctx context.Context, op operation) error {
+	if op == write {
+		return fault.Wrap(fault.KindStoreAmbiguous, ctx.Err(), "waiting for the store")
+	}
+	return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "waiting for the store")
+}
+
+// finish applies the delay that comes after the effect.
+func (s *Store) finish(ctx context.Context) error {
+	if !sleep(ctx, s.Faults().Delay.Std()/2) {
+		return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "waiting for the store")
+	}
+	return nil
+}
+
+// count adds one call to the counters and reports whether it is within the
+// limit of the current second.
+func (s *Store) count(op operation) bool {
+	if now := s.now().Unix(); now != s.window.second {
+		s.window = window{second: now}
+	}
+	if op == read {
+		s.stats.Reads++
+		s.window.reads++
+		s.stats.PeakReads = max(s.stats.PeakReads, s.window.reads)
+		return s.faults.ReadsPerSecond == 0 || s.window.reads <= s.faults.ReadsPerSecond
+	}
+	s.stats.Writes++
+	s.window.writes++
+	s.stats.PeakWrites = max(s.stats.PeakWrites, s.window.writes)
+	return s.faults.WritesPerSecond == 0 || s.window.writes <= s.faults.WritesPerSecond
+}
+
+// takeLostCommit reports whether the next transaction is to be lost.
+func (s *Store) takeLostCommit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseCommits == 0 {
+		return false
+	}
+	s.faults.LoseCommits--
+	return true
+}
+
+// sleep waits for d and reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/standin/platform/run.go
@@ -0,0 +1,40 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/jacinthramp/jacinthramp/pkg/standin"
+)
+
+// DefaultListen is the stand-in's address when the settings name none.
+const DefaultListen = "127.0.0.1:7400"
+
+// Settings are the settings of the stand-in as a process.
+type Settings struct {
+	// Listen is a loopback IP address and port. Default DefaultListen.
+	Listen string `yaml:"listen"`
+	// Faults are switched on from the start. Default none.
+	Faults Faults `yaml:"faults"`
+}
+
+// LoadSettings reads the YAML file at path.
+func LoadSettings(path string) (Settings, error) {
+	s := Settings{Listen: DefaultListen}
+	if err := standin.LoadSettings(path, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, standin.RequireLoopback(s.Listen)
+}
+
+// Run serves the stand-in until ctx is done. It calls started with the
+// address it listens on.
+func Run(ctx context.Context, settings Settings, started func(address string)) error {
+	ln, err := standin.Listen(settings.Listen)
+	if err != nil {
+		return err
+	}
+	store := New(nil)
+	store.SetFaults(settings.Faults)
+	started(ln.Addr().String())
+	return standin.Serve(ctx, ln, Handler(store))
+}
--- /dev/null
+++ b/pkg/standin/platform/store.go
@@ -0,0 +1,173 @@
+// Package platform is a stand-in for the platform: a table service with
+// transactions over several rows, an object store and a lagging list of
+// instances, with faults that can be switched on. Store implements the
+// interfaces in process; Handler serves them over HTTP.
+package platform
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+)
+
+// Store is the platform's state in memory. It may be used from several
+// goroutines at once.
+type Store struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	faults  Faults
+	stats   Stats
+	window  window
+	serial  uint64
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	list    history
+}
+
+var (
+	_ platform.Tables    = (*Store)(nil)
+	_ platform.Objects   = (*Store)(nil)
+	_ platform.Instances = (*Store)(nil)
+)
+
+// New returns an empty store without faults. A nil now means time.Now.
+func New(now func() time.Time) *Store {
+	if now == nil {
+		now = time.Now
+	}
+	return &Store{
+		now:     now,
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+	}
+}
+
+// Get implements platform.Tables.
+func (s *Store) Get(ctx context.Context, key, ifNoneMatch string) (platform.Row, bool, error) {
+	if err := s.begin(ctx, read); err != nil {
+		return platform.Row{}, false, err
+	}
+	s.mu.Lock()
+	row, ok := s.rows[key]
+	unchanged := ok && row.ETag == ifNoneMatch
+	if unchanged {
+		s.stats.NotModified++
+	}
+	s.mu.Unlock()
+	if err := s.finish(ctx); err != nil {
+		return platform.Row{}, false, err
+	}
+	if unchanged {
+		return platform.Row{}, false, nil
+	}
+	row.Key = key
+	row.Value = slices.Clone(row.Value)
+	return row, ok || ifNoneMatch != "", nil
+}
+
+// List implements platform.Tables.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := s.begin(ctx, read); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		if strings.HasPrefix(key, prefix) {
+			row := s.rows[key]
+			row.Value = slices.Clone(row.Value)
+			rows = append(rows, row)
+		}
+	}
+	s.mu.Unlock()
+	return rows, s.finish(ctx)
+}
+
+// Commit implements platform.Tables.
+func (s *Store) Commit(ctx context.Context, writes []platform.Write) ([]string, error) {
+	if err := s.begin(ctx, write); err != nil {
+		return nil, err
+	}
+	if s.takeLostCommit() {
+		return nil, fault.New(fault.KindStoreAmbiguous, "connection closed before the transaction took effect")
+	}
+	etags, lost, err := s.apply(writes)
+	if err != nil {
+		return nil, err
+	}
+	if lost {
+		return nil, fault.New(fault.KindStoreAmbiguous, "connection closed after the transaction took effect")
+	}
+	if err := s.finish(ctx); err != nil {
+		return nil, fault.Wrap(fault.KindStoreAmbiguous, err, "waiting for the transaction's answer")
+	}
+	return etags, nil
+}
+
+// apply checks every condition and then makes every write. It reports whether
+// the answer has to be lost.
+func (s *Store) apply(writes []platform.Write) (etags []string, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range writes {
+		if have := s.rows[w.Key].ETag; have != w.IfMatch {
+			s.stats.Conflicts++
+			return nil, false, fault.New(fault.KindEditConflict, "row %s has ETag %q, not %q", w.Key, have, w.IfMatch)
+		}
+	}
+	at := s.now()
+	for _, w := range writes {
+		etags = append(etags, s.put(w, at))
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		s.stats.LostAnswers++
+		lost = true
+	}
+	return etags, lost, nil
+}
+
+// put makes one write and returns the row's new ETag.
+func (s *Store) put(w platform.Write, at time.Time) string {
+	if w.Delete {
+		delete(s.rows, w.Key)
+		return ""
+	}
+	s.serial++
+	etag := strconv.Quote(strconv.FormatUint(s.serial, 10))
+	s.rows[w.Key] = platform.Row{Key: w.Key, ETag: etag, Value: slices.Clone(w.Value), ModifiedAt: at}
+	return etag
+}
+
+// PutObject implements platform.Objects.
+func (s *Store) PutObject(ctx context.Context, name string, data []byte) error {
+	if err := s.begin(ctx, write); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.objects[name] = slices.Clone(data)
+	s.mu.Unlock()
+	return s.finish(ctx)
+}
+
+// GetObject implements platform.Objects.
+func (s *Store) GetObject(ctx context.Context, name string) ([]byte, bool, error) {
+	if err := s.begin(ctx, read); err != nil {
+		return nil, false, err
+	}
+	s.mu.Lock()
+	data, ok := s.objects[name]
+	s.mu.Unlock()
+	if err := s.finish(ctx); err != nil {
+		return nil, false, err
+	}
+	return slices.Clone(data), ok, nil
+}
--- /dev/null
+++ b/pkg/standin/standin.go
@@ -0,0 +1,83 @@
+// Package standin holds what the stand-ins for the platform and the targets
+// share: strict settings files and a server bound to the loopback interface.
+// Stand-ins are for demos, trials and tests; they keep nothing.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// shutdownTimeout bounds the wait for requests in flight when a stand-in stops.
+const shutdownTimeout = 10 * time.Second
+
+// LoadSettings reads the YAML file at path into v. An unknown key or a value
+// of the wrong type is KindInvalidSettings with the file, line and key.
+func LoadSettings(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(fault.KindInvalidSettings, err, "reading settings")
+	}
+	if err := yaml.UnmarshalWithOptions(data, v, yaml.Strict()); err != nil {
+		return fault.New(fault.KindInvalidSettings, "%s: %s", path, yaml.FormatError(err, false, true))
+	}
+	return nil
+}
+
+// Listen opens a TCP listener on a loopback address such as "127.0.0.1:7400".
+func Listen(address string) (net.Listener, error) {
+	if err := RequireLoopback(address); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.KindInvalidSettings, err, "listening on %s", address)
+	}
+	return ln, nil
+}
+
+// RequireLoopback refuses an address that is not a loopback IP address and port.
+func RequireLoopback(address string) error {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fault.Wrap(fault.KindInvalidSettings, err, "address %q is not an IP address and port such as 127.0.0.1:7400", address)
+	}
+	if !ap.Addr().IsLoopback() {
+		return fault.New(fault.KindInvalidSettings, "address %s is not a loopback address such as 127.0.0.1", address)
+	}
+	return nil
+}
+
+// Serve answers requests on ln until ctx is done, then waits for those in flight.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		limit, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		stopped <- srv.Shutdown(limit)
+	})
+	defer stop()
+	err := srv.Serve(ln)
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return <-stopped
+}
+
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
