Read, check and accept versions of the two tables

Cause: operators edit two YAML files; what they accept has to be one version everywhere, and a lost answer of the store must not apply an edit twice.

Weighed: one file or two. Two, routes and pools, because they are owned by different people and a drain edits only pools; both carry the version they were made against, and a file left out keeps its table. Filling the defaults before storing was ruled out: a region's limit defaults to the sum of its targets' slots, and a stored sum would stay behind when a target is removed. The accepted form stays as written, Load fills the defaults.

Change: package strictyaml compares a document with the structs and reports each unknown key, wrong type or explicit zero with line, path and what is accepted. Package table parses, validates (every problem with row, field and line) and compares versions. Package tablestore keeps head and history rows in one conditional commit; Accept resolves lost answers by reading back the row of the version after the base, which holds the edit's id. The shares in force are taken at the platform's own time, read from a row written for that.

Results: go test -race ./pkg/table ./pkg/tablestore passes.

--- /dev/null
+++ b/pkg/strictyaml/walk.go
@@ -0,0 +1,222 @@
+package strictyaml
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// walker compares a document with a type and collects the problems.
+type walker struct {
+	file     string
+	lines    Lines
+	problems []Problem
+}
+
+// add records a problem at n.
+func (w *walker) add(key string, n ast.Node, format string, args ...any) {
+	w.problems = append(w.problems, Problem{File: w.file, Line: line(n), Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// check compares n with t. optional says that zero stands for a default.
+func (w *walker) check(key string, n ast.Node, t reflect.Type, optional bool, depth int) {
+	if depth > maxDepth {
+		w.add(key, n, "nested too deep: at most %d levels are accepted", maxDepth)
+		return
+	}
+	w.lines[key] = line(n)
+	switch {
+	case isText(t):
+		w.checkText(key, n, t, optional)
+	case t.Kind() == reflect.Struct:
+		w.checkStruct(key, n, t, depth)
+	case t.Kind() == reflect.Slice:
+		w.checkList(key, n, t, depth)
+	case t.Kind() == reflect.Pointer:
+		w.check(key, n, t.Elem(), optional, depth)
+	default:
+		w.checkScalar(key, n, t, optional)
+	}
+}
+
+// isText reports whether values of t are written as text of their own form.
+func isText(t reflect.Type) bool {
+	_, ok := unmarshaler(t)
+	return ok
+}
+
+// checkText compares a scalar with a type that reads text.
+func (w *walker) checkText(key string, n ast.Node, t reflect.Type, optional bool) {
+	s, ok := n.(ast.ScalarNode)
+	if !ok {
+		w.add(key, n, "a value such as 500ms is accepted")
+		return
+	}
+	u, _ := unmarshaler(t)
+	if err := u.UnmarshalText([]byte(fmt.Sprint(s.GetValue()))); err != nil {
+		w.add(key, n, "%v; a value such as 500ms or 10s is accepted", err)
+		return
+	}
+	if optional && reflect.ValueOf(u).Elem().IsZero() {
+		w.add(key, n, "zero is not accepted; leave the key out for its default")
+	}
+}
+
+// checkStruct compares a mapping with a struct.
+func (w *walker) checkStruct(key string, n ast.Node, t reflect.Type, depth int) {
+	entries, ok := mapping(n)
+	if !ok {
+		w.add(key, n, "a mapping with the keys %s is accepted", accepted(t))
+		return
+	}
+	seen := map[string]bool{}
+	for _, e := range entries {
+		name, ok := e.Key.(*ast.StringNode)
+		if !ok {
+			w.add(key, e.Key, "%q is no key; accepted: %s", e.Key.String(), accepted(t))
+			continue
+		}
+		path := join(key, name.Value)
+		f, ok := field(t, name.Value)
+		if !ok {
+			w.add(path, e.Key, "unknown key; accepted: %s", accepted(t))
+			continue
+		}
+		if seen[name.Value] {
+			w.add(path, e.Key, "the key is given twice")
+			continue
+		}
+		seen[name.Value] = true
+		w.check(path, e.Value, f.Type, strings.Contains(f.Tag.Get("yaml"), ",omitempty"), depth+1)
+	}
+}
+
+// checkList compares a sequence with a slice.
+func (w *walker) checkList(key string, n ast.Node, t reflect.Type, depth int) {
+	list, ok := n.(*ast.SequenceNode)
+	if !ok {
+		w.add(key, n, "a list is accepted")
+		return
+	}
+	for i, v := range list.Values {
+		w.check(fmt.Sprintf("%s[%d]", key, i), v, t.Elem(), false, depth+1)
+	}
+}
+
+// checkScalar compares a scalar with a basic type.
+func (w *walker) checkScalar(key string, n ast.Node, t reflect.Type, optional bool) {
+	want := ""
+	switch t.Kind() {
+	case reflect.String:
+		switch n.(type) {
+		case *ast.StringNode, *ast.LiteralNode:
+		default:
+			want = "text is accepted (quote it when it looks like a number)"
+		}
+	case reflect.Bool:
+		if _, ok := n.(*ast.BoolNode); !ok {
+			want = "true or false is accepted"
+		}
+	case reflect.Float32, reflect.Float64:
+		switch n.(type) {
+		case *ast.FloatNode, *ast.IntegerNode:
+		default:
+			want = "a number is accepted"
+		}
+	case reflect.Int, reflect.Int64, reflect.Int32, reflect.Uint64, reflect.Uint32, reflect.Uint:
+		if _, ok := n.(*ast.IntegerNode); !ok {
+			want = "a whole number is accepted"
+		}
+	default:
+		want = "this type can't be read"
+	}
+	if want != "" {
+		w.add(key, n, "%s is given; %s", describe(n), want)
+		return
+	}
+	if optional && isZeroNumber(n) {
+		w.add(key, n, "zero is not accepted; leave the key out for its default")
+	}
+}
+
+// isZeroNumber reports whether n is the number zero.
+func isZeroNumber(n ast.Node) bool {
+	switch v := n.(type) {
+	case *ast.IntegerNode:
+		return fmt.Sprint(v.Value) == "0"
+	case *ast.FloatNode:
+		return v.Value == 0
+	}
+	return false
+}
+
+// describe names the value of n in a message.
+func describe(n ast.Node) string {
+	const longest = 40
+	switch n.(type) {
+	case *ast.NullNode:
+		return "no value"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		return "an anchor, alias or tag"
+	}
+	s := n.String()
+	if len(s) > longest {
+		s = s[:longest] + "..."
+	}
+	return fmt.Sprintf("%q", s)
+}
+
+// mapping returns the entries of n, and false when it is no mapping.
+func mapping(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch v := n.(type) {
+	case *ast.MappingNode:
+		return v.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{v}, true
+	}
+	return nil, false
+}
+
+// field finds the field of t with the given key.
+func field(t reflect.Type, key string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if k := keyOf(t.Field(i)); k != "" && k == key {
+			return t.Field(i), true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// keyOf returns the key of f, or "" when it has none.
+func keyOf(f reflect.StructField) string {
+	k, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if k == "-" {
+		return ""
+	}
+	return k
+}
+
+// accepted lists the keys of t.
+func accepted(t reflect.Type) string {
+	var keys []string
+	for i := range t.NumField() {
+		if k := keyOf(t.Field(i)); k != "" {
+			keys = append(keys, k)
+		}
+	}
+	return strings.Join(keys, ", ")
+}
+
+// join appends a key to a path.
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- /dev/null
+++ b/pkg/table/defaults.go
@@ -0,0 +1,83 @@
+package table
+
+// WithDefaults returns a copy of t with every optional field filled. The
+// accepted form leaves them out, so that a default which depends on other
+// rows, such as a region's limit, follows those rows.
+func (t *Tables) WithDefaults() *Tables {
+	c := t.Clone()
+	for i := range c.Routes {
+		c.Routes[i].fillDefaults()
+	}
+	slots := make(map[string]int)
+	for i := range c.Pools {
+		p := &c.Pools[i]
+		p.fillDefaults()
+		slots[p.Region] += p.Slots()
+	}
+	for i := range c.Regions {
+		r := &c.Regions[i]
+		setDefault(&r.Limit, slots[r.Name])
+		setDefault(&r.LinkBytesPerSecond, DefaultLinkBytesPerSecond)
+	}
+	return c
+}
+
+// Clone returns a deep copy of t.
+func (t *Tables) Clone() *Tables {
+	c := *t
+	c.Routes = append([]Route(nil), t.Routes...)
+	for i := range c.Routes {
+		c.Routes[i].Pools = append([]PoolWeight(nil), t.Routes[i].Pools...)
+	}
+	c.Pools = append([]Pool(nil), t.Pools...)
+	for i := range c.Pools {
+		c.Pools[i].Targets = append([]Target(nil), t.Pools[i].Targets...)
+	}
+	c.Regions = append([]Region(nil), t.Regions...)
+	c.Shifts = append([]Shift(nil), t.Shifts...)
+	return &c
+}
+
+// Slots returns the sum of the slots of p's targets.
+func (p *Pool) Slots() int {
+	n := 0
+	for _, tg := range p.Targets {
+		n += max(tg.Slots, 0)
+	}
+	return n
+}
+
+// Weights returns the sum of r's weights.
+func (r *Route) Weights() int {
+	n := 0
+	for _, w := range r.Pools {
+		n += w.Weight
+	}
+	return n
+}
+
+func (r *Route) fillDefaults() {
+	setDefault(&r.PathPrefix, "/")
+	setDefault(&r.Idempotency, IdempotentByMethod)
+	setDefault(&r.Priority, PriorityNormal)
+	setDefault(&r.Timeout, Duration(DefaultTimeout))
+	setDefault(&r.QueueTimeout, Duration(DefaultQueueTimeout))
+	setDefault(&r.LookupTTL, Duration(DefaultLookupTTL))
+	setDefault(&r.MaxBody, DefaultMaxBodyBytes)
+}
+
+func (p *Pool) fillDefaults() {
+	setDefault(&p.ShiftCap, DefaultShiftCap)
+	setDefault(&p.ShiftWindow, Duration(DefaultShiftWindow))
+	for i := range p.Targets {
+		setDefault(&p.Targets[i].Connections, DefaultConnections)
+	}
+}
+
+// setDefault sets *v to def when it is zero.
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
--- /dev/null
+++ b/pkg/table/problem.go
@@ -0,0 +1,79 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/strictyaml"
+)
+
+// Problem is one fault of the tables.
+type Problem struct {
+	// File and Line are set when the tables were read from files.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Row is the table and the name of the row, such as "route feedlog".
+	Row string `json:"row,omitempty"`
+	// Field is the path of the field, such as "pools[0].weight".
+	Field string `json:"field,omitempty"`
+	// Message says what is wrong and what is accepted.
+	Message string `json:"message"`
+	// path is the field's path in its file.
+	path string
+}
+
+// String formats p on one line.
+func (p Problem) String() string {
+	var parts []string
+	switch {
+	case p.File != "" && p.Line > 0:
+		parts = append(parts, fmt.Sprintf("%s:%d", p.File, p.Line))
+	case p.File != "":
+		parts = append(parts, p.File)
+	}
+	if p.Row != "" {
+		parts = append(parts, p.Row)
+	}
+	if p.Field != "" {
+		parts = append(parts, p.Field)
+	}
+	return strings.Join(append(parts, p.Message), ": ")
+}
+
+// InvalidError holds every problem found in the tables. Its kind is
+// fault.KindInvalidTable.
+type InvalidError struct {
+	Problems []Problem
+	kind     error
+}
+
+// Invalid returns an InvalidError, or nil when there are no problems.
+func Invalid(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: problems, kind: fault.New(fault.KindInvalidTable, "the tables are not valid")}
+}
+
+// Error lists the problems, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems)+1)
+	lines = append(lines, fmt.Sprintf("the tables are not valid (%d problems)", len(e.Problems)))
+	for _, p := range e.Problems {
+		lines = append(lines, "  "+p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the error that carries the kind.
+func (e *InvalidError) Unwrap() error { return e.kind }
+
+// fromYAML converts the problems of a document.
+func fromYAML(ps []strictyaml.Problem) []Problem {
+	out := make([]Problem, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, Problem{File: p.File, Line: p.Line, Field: p.Key, Message: p.Message})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/tablestore/accept.go
@@ -0,0 +1,254 @@
+package tablestore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Edit is a change to be accepted.
+type Edit struct {
+	// ID identifies the edit. Accepting the same id twice changes nothing.
+	ID     string
+	Author string
+	Reason string
+	// Tables is the new content. Tables.Version is the version the edit was
+	// made against.
+	Tables *table.Tables
+	// Shifts returns the pool shares in force at the platform's time now
+	// under the current tables. Nil leaves the shifts empty.
+	Shifts func(current *table.Tables, now time.Time) []table.Shift
+	// Retry bounds the attempts. The zero value is DefaultRetry.
+	Retry Retry
+}
+
+// Retry bounds the attempts of an edit against a failing store.
+type Retry struct {
+	// Attempts is the largest number of attempts.
+	Attempts uint
+	// First is the wait after the first attempt; waits grow up to Longest.
+	First   time.Duration
+	Longest time.Duration
+}
+
+// DefaultRetry is used by edits that set no Retry.
+var DefaultRetry = Retry{Attempts: 8, First: 50 * time.Millisecond, Longest: 2 * time.Second}
+
+// Accept makes e the next version of the tables. The row of the new version
+// and the head change in one transaction, conditional on the head that the
+// edit was made against, so that of racing edits one wins. An attempt whose
+// answer was lost is resolved by reading back: the edit was accepted when the
+// version after its base carries its id.
+//
+// Errors: an InvalidError; a ConflictError when another edit was accepted
+// first; fault.KindStoreUnavailable when the edit was not accepted;
+// fault.KindStoreAmbiguous when that is not known, in which case Accept may
+// be called again with the same id.
+func Accept(ctx context.Context, t platform.Tables, o platform.Objects, e Edit) (Head, error) {
+	if err := e.Tables.Validate(); err != nil {
+		return Head{}, err
+	}
+	if e.ID == "" {
+		return Head{}, fault.New(fault.KindBadRequest, "an edit needs an id")
+	}
+	if e.Retry == (Retry{}) {
+		e.Retry = DefaultRetry
+	}
+	a := acceptor{tables: t, objects: o, edit: e}
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = e.Retry.First
+	wait.MaxInterval = e.Retry.Longest
+	head, err := backoff.Retry(ctx, func() (Head, error) { return a.attempt(ctx) },
+		backoff.WithBackOff(wait), backoff.WithMaxTries(e.Retry.Attempts))
+	if err == nil || isDecided(err) {
+		return head, err
+	}
+	if a.ambiguous {
+		return Head{}, fault.Wrap(fault.KindStoreAmbiguous, err, "the edit %s may have been accepted; apply it again with the same id", e.ID)
+	}
+	return Head{}, fault.Wrap(fault.KindStoreUnavailable, err, "the edit %s was not accepted", e.ID)
+}
+
+// acceptor holds the state of one Accept over its attempts.
+type acceptor struct {
+	tables  platform.Tables
+	objects platform.Objects
+	edit    Edit
+	// ambiguous is set once a commit may have taken effect.
+	ambiguous bool
+}
+
+// attempt reads the head back and commits when the edit is still to be made.
+func (a *acceptor) attempt(ctx context.Context) (Head, error) {
+	current, etag, _, err := ReadHead(ctx, a.tables, "")
+	if err != nil {
+		return Head{}, retryable(err)
+	}
+	base := a.edit.Tables.Version
+	if current.Version != base {
+		head, err := a.resolve(ctx, current)
+		return head, retryable(err)
+	}
+	head, writes, err := a.prepare(ctx, current, etag)
+	if err != nil {
+		return Head{}, retryable(err)
+	}
+	_, err = a.tables.Commit(ctx, writes)
+	switch {
+	case err == nil:
+		return a.readBack(ctx, head), nil
+	case fault.KindOf(err) == fault.KindEditConflict:
+		return a.lost(ctx, err)
+	case fault.KindOf(err) != fault.KindStoreUnavailable:
+		a.ambiguous = true
+	}
+	return Head{}, retryable(err)
+}
+
+// lost decides the edit after its condition failed with err: a commit of its
+// own whose answer was lost may have come first.
+func (a *acceptor) lost(ctx context.Context, err error) (Head, error) {
+	current, _, _, readErr := ReadHead(ctx, a.tables, "")
+	if readErr != nil {
+		return Head{}, retryable(readErr)
+	}
+	if current.Version == a.edit.Tables.Version {
+		return Head{}, err
+	}
+	head, err := a.resolve(ctx, current)
+	return head, retryable(err)
+}
+
+// prepare stores the content of the next version and returns its writes.
+func (a *acceptor) prepare(ctx context.Context, current Head, etag string) (Head, []platform.Write, error) {
+	next := a.edit.Tables.Clone()
+	next.Version = current.Version + 1
+	shifts, err := a.shifts(ctx, current)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	next.Shifts = shifts
+	name, data, err := Encode(next)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	if err := a.objects.PutObject(ctx, name, data); err != nil {
+		return Head{}, nil, err
+	}
+	head := Head{Version: next.Version, EditID: a.edit.ID, Author: a.edit.Author, Reason: a.edit.Reason, Object: name}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	return head, []platform.Write{
+		{Key: CurrentKey, IfMatch: etag, Value: value},
+		{Key: HistoryKey(head.Version), Value: value},
+	}, nil
+}
+
+// shifts computes the shares in force from the tables that are current.
+func (a *acceptor) shifts(ctx context.Context, current Head) ([]table.Shift, error) {
+	if a.edit.Shifts == nil || current.Version == 0 {
+		return nil, nil
+	}
+	tables, err := Load(ctx, a.objects, current)
+	if err != nil {
+		return nil, err
+	}
+	now, err := readClock(ctx, a.tables)
+	if err != nil {
+		return nil, err
+	}
+	return a.edit.Shifts(tables, now), nil
+}
+
+// readBack adds the time of acceptance to head where the store can be read.
+func (a *acceptor) readBack(ctx context.Context, head Head) Head {
+	if h, found, err := ReadVersion(ctx, a.tables, head.Version); err == nil && found {
+		return h
+	}
+	return head
+}
+
+// resolve decides the edit when the head is not the base: it was accepted
+// when the version after the base is its own, else it conflicts.
+func (a *acceptor) resolve(ctx context.Context, current Head) (Head, error) {
+	base := a.edit.Tables.Version
+	if base < current.Version {
+		h, found, err := ReadVersion(ctx, a.tables, base+1)
+		if err != nil {
+			return Head{}, err
+		}
+		if found && h.EditID == a.edit.ID {
+			return h, nil
+		}
+	}
+	return Head{}, a.conflict(ctx, current)
+}
+
+// conflict builds the error with both sides. A side that can't be read is
+// left empty: the refusal stands without it.
+func (a *acceptor) conflict(ctx context.Context, current Head) error {
+	base := a.edit.Tables.Version
+	var yours, theirs []table.Change
+	old, err := LoadVersion(ctx, a.tables, a.objects, base)
+	if err == nil {
+		yours = table.Diff(old, a.edit.Tables)
+		if now, err := LoadAccepted(ctx, a.objects, current); err == nil {
+			theirs = table.Diff(old, now)
+		}
+	}
+	return newConflict(base, current, yours, theirs)
+}
+
+// LoadVersion reads the content of one version as it was edited. Version zero
+// is empty.
+func LoadVersion(ctx context.Context, t platform.Tables, o platform.Objects, version uint64) (*table.Tables, error) {
+	if version == 0 {
+		return &table.Tables{}, nil
+	}
+	h, found, err := ReadVersion(ctx, t, version)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fault.New(fault.KindInvalidTable, "version %d has not been accepted", version)
+	}
+	return LoadAccepted(ctx, o, h)
+}
+
+// readClock returns the platform's time, from the modification of a row that
+// it writes for that purpose. A lost answer or a racing write does no harm.
+func readClock(ctx context.Context, t platform.Tables) (time.Time, error) {
+	row, _, err := t.Get(ctx, ClockKey, "")
+	if err != nil {
+		return time.Time{}, err
+	}
+	_, err = t.Commit(ctx, []platform.Write{{Key: ClockKey, IfMatch: row.ETag, Value: []byte("{}")}})
+	if err != nil && fault.KindOf(err) != fault.KindEditConflict {
+		return time.Time{}, fault.Wrap(fault.KindStoreUnavailable, err, "the platform's time can't be read")
+	}
+	row, _, err = t.Get(ctx, ClockKey, "")
+	return row.ModifiedAt, err
+}
+
+// retryable marks errors that decide the edit as permanent.
+func retryable(err error) error {
+	if err != nil && isDecided(err) {
+		return backoff.Permanent(err)
+	}
+	return err
+}
+
+// isDecided reports whether err is final: a new attempt would end the same.
+func isDecided(err error) bool {
+	var conflict *ConflictError
+	return errors.As(err, &conflict) || fault.KindOf(err) == fault.KindInvalidTable
+}
--- /dev/null
+++ b/pkg/tablestore/accept_test.go
@@ -0,0 +1,167 @@
+package tablestore
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// quick keeps the waits of the tests short.
+var quick = Retry{Attempts: 5, First: time.Microsecond, Longest: time.Microsecond}
+
+// edit returns an edit of base whose only target has the given slots.
+func edit(id string, base uint64, slots int) Edit {
+	t := &table.Tables{
+		Version: base,
+		Routes:  []table.Route{{Name: "feedlog", Pools: []table.PoolWeight{{Pool: "p", Weight: 1}}}},
+		Regions: []table.Region{{Name: "osrednja"}},
+		Pools: []table.Pool{{Name: "p", Region: "osrednja", Targets: []table.Target{
+			{Name: "t", Address: "10.0.0.1:80", Zone: "osrednja-a", Slots: slots},
+		}}},
+	}
+	return Edit{ID: id, Author: "author-" + id, Reason: "reason", Tables: t, Retry: quick}
+}
+
+func mustAccept(t *testing.T, f *fake, e Edit) Head {
+	t.Helper()
+	h, err := Accept(context.Background(), f, f, e)
+	if err != nil {
+		t.Fatalf("Accept(%s): %v", e.ID, err)
+	}
+	return h
+}
+
+func TestAcceptedTablesAreLoadedWithVersionTimeAndDefaults(t *testing.T) {
+	f := newFake()
+	mustAccept(t, f, edit("a", 0, 4))
+	h, etag, changed, err := ReadHead(context.Background(), f, "")
+	if err != nil || !changed || h.Version != 1 || h.EditID != "a" {
+		t.Fatalf("head = %+v, %v, %v", h, changed, err)
+	}
+	if _, _, changed, _ := ReadHead(context.Background(), f, etag); changed {
+		t.Fatal("the head changed without an edit")
+	}
+	got, err := Load(context.Background(), f, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Version != 1 || !got.AcceptedAt.Equal(f.now) || got.Region("osrednja").Limit != 4 {
+		t.Fatalf("tables = %+v, store's time %v", got, f.now)
+	}
+}
+
+func TestLostAnswersAreResolvedByReadingBack(t *testing.T) {
+	for name, script := range map[string][]answer{
+		"took effect":               {lostAfter},
+		"did not take effect":       {lostBefore},
+		"twice":                     {lostBefore, lostAfter},
+		"refused, then took effect": {refused, lostAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFake()
+			f.script = script
+			if h := mustAccept(t, f, edit("a", 0, 4)); h.Version != 1 || h.EditID != "a" {
+				t.Fatalf("head = %+v", h)
+			}
+			if heads, _ := History(context.Background(), f); len(heads) != 1 {
+				t.Fatalf("history = %+v", heads)
+			}
+		})
+	}
+}
+
+func TestLostAnswerIsFoundBeneathLaterVersions(t *testing.T) {
+	f := newFake()
+	f.script = []answer{lostAfter}
+	first := edit("a", 0, 4)
+	mustAccept(t, f, first)
+	mustAccept(t, f, edit("b", 1, 5))
+	if h := mustAccept(t, f, first); h.Version != 1 || h.EditID != "a" {
+		t.Fatalf("the repeated edit gave %+v", h)
+	}
+	if heads, _ := History(context.Background(), f); len(heads) != 2 {
+		t.Fatalf("history = %+v", heads)
+	}
+}
+
+func TestConflictShowsBothSides(t *testing.T) {
+	f := newFake()
+	mustAccept(t, f, edit("a", 0, 4))
+	mustAccept(t, f, edit("b", 1, 5))
+	_, err := Accept(context.Background(), f, f, edit("c", 1, 6))
+	var c *ConflictError
+	if !errors.As(err, &c) || fault.KindOf(err) != fault.KindEditConflict {
+		t.Fatalf("err = %v", err)
+	}
+	if c.Base != 1 || c.Current.Version != 2 || c.Current.Author != "author-b" {
+		t.Fatalf("conflict = %+v", c)
+	}
+	if len(c.Yours) == 0 || c.Yours[len(c.Yours)-1].New != "6" || c.Theirs[len(c.Theirs)-1].New != "5" {
+		t.Fatalf("sides = %v | %v", c.Yours, c.Theirs)
+	}
+	if !strings.Contains(err.Error(), "author-b") {
+		t.Fatalf("message = %s", err)
+	}
+}
+
+func TestRaceAtTheCommitIsAConflict(t *testing.T) {
+	f := newFake()
+	f.before = func() {
+		f.before = nil
+		mustAccept(t, f, edit("b", 0, 5))
+	}
+	_, err := Accept(context.Background(), f, f, edit("a", 0, 4))
+	var c *ConflictError
+	if !errors.As(err, &c) || c.Current.EditID != "b" {
+		t.Fatalf("err = %v", err)
+	}
+}
+
+func TestGivingUpSaysWhetherTheEditMayHaveBeenAccepted(t *testing.T) {
+	f := newFake()
+	f.script = []answer{refused, refused, refused, refused, refused}
+	if _, err := Accept(context.Background(), f, f, edit("a", 0, 4)); fault.KindOf(err) != fault.KindStoreUnavailable {
+		t.Fatalf("err = %v", err)
+	}
+	f.script = []answer{lostBefore, refused, refused, refused, refused}
+	if _, err := Accept(context.Background(), f, f, edit("a", 0, 4)); fault.KindOf(err) != fault.KindStoreAmbiguous {
+		t.Fatalf("err = %v", err)
+	}
+}
+
+func TestShiftsAreComputedAtThePlatformsTime(t *testing.T) {
+	f := newFake()
+	mustAccept(t, f, edit("a", 0, 4))
+	var at time.Time
+	e := edit("b", 1, 5)
+	e.Shifts = func(cur *table.Tables, now time.Time) []table.Shift {
+		at = now
+		return []table.Shift{{Route: "feedlog", Pool: "p", Share: 1}}
+	}
+	h := mustAccept(t, f, e)
+	got, err := Load(context.Background(), f, h)
+	if err != nil || len(got.Shifts) != 1 {
+		t.Fatalf("shifts = %v, %v", got, err)
+	}
+	if d := h.AcceptedAt.Sub(at); d < 0 || d > time.Second {
+		t.Fatalf("shares taken at %v, accepted at %v", at, h.AcceptedAt)
+	}
+}
+
+func TestDamagedContentIsRefused(t *testing.T) {
+	f := newFake()
+	h := mustAccept(t, f, edit("a", 0, 4))
+	f.objects[h.Object] = append(f.objects[h.Object], ' ')
+	if _, err := Load(context.Background(), f, h); fault.KindOf(err) != fault.KindInvalidTable {
+		t.Fatalf("err = %v", err)
+	}
+	delete(f.objects, h.Object)
+	if _, err := Load(context.Background(), f, h); fault.KindOf(err) != fault.KindStoreUnavailable {
+		t.Fatalf("err = %v", err)
+	}
+}
--- /dev/null
+++ b/pkg/tablestore/conflict.go
@@ -0,0 +1,61 @@
+package tablestore
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// ConflictError says that an edit was made against a version that is not the
+// current one. Its kind is fault.KindEditConflict.
+type ConflictError struct {
+	// Base is the version that the edit was made against.
+	Base uint64 `json:"base_version"`
+	// Current is the version in force, with its author and reason.
+	Current Head `json:"current"`
+	// Yours is what the edit changes of its base; Theirs is what the versions
+	// accepted since have changed of it.
+	Yours  []table.Change `json:"yours"`
+	Theirs []table.Change `json:"theirs"`
+	kind   error
+}
+
+// newConflict returns the conflict of an edit.
+func newConflict(base uint64, current Head, yours, theirs []table.Change) *ConflictError {
+	return &ConflictError{
+		Base: base, Current: current, Yours: yours, Theirs: theirs,
+		kind: fault.New(fault.KindEditConflict, "the edit was made against version %d, the tables are at version %d", base, current.Version),
+	}
+}
+
+// Error shows both sides.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "the edit was made against version %d; the tables are at version %d", e.Base, e.Current.Version)
+	if e.Current.Version > 0 {
+		fmt.Fprintf(&b, ", by %s", e.Current.Author)
+		if e.Current.Reason != "" {
+			fmt.Fprintf(&b, " (%s)", e.Current.Reason)
+		}
+	}
+	side(&b, fmt.Sprintf("your edit changes, of version %d", e.Base), e.Yours)
+	side(&b, fmt.Sprintf("changed since, up to version %d", e.Current.Version), e.Theirs)
+	b.WriteString("\nexport the current version, make the edit again there and apply it")
+	return b.String()
+}
+
+// Unwrap returns the error that carries the kind.
+func (e *ConflictError) Unwrap() error { return e.kind }
+
+// side writes one side's changes.
+func side(b *strings.Builder, title string, changes []table.Change) {
+	fmt.Fprintf(b, "\n%s:", title)
+	if len(changes) == 0 {
+		b.WriteString("\n  nothing")
+	}
+	for _, c := range changes {
+		fmt.Fprintf(b, "\n  %s", c)
+	}
+}
--- /dev/null
+++ b/pkg/tablestore/fake_test.go
@@ -0,0 +1,127 @@
+package tablestore
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+)
+
+// answer is what the fake does with one commit of the head.
+type answer int
+
+const (
+	applied answer = iota
+	// lostAfter applies the commit and loses the answer.
+	lostAfter
+	// lostBefore loses the request and says that the outcome is not known.
+	lostBefore
+	refused
+)
+
+// fake is an in-memory platform whose commits of the head follow a script.
+type fake struct {
+	mu      sync.Mutex
+	now     time.Time
+	etag    int
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	// script holds the answers to the next commits of the head.
+	script []answer
+	// down refuses every read and write.
+	down bool
+	// before runs before each commit of the head, without the lock.
+	before func()
+}
+
+func newFake() *fake {
+	return &fake{now: time.Unix(1_800_000_000, 0).UTC(), rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+func (f *fake) Get(_ context.Context, key, ifNoneMatch string) (platform.Row, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, false, fault.New(fault.KindStoreUnavailable, "down")
+	}
+	row := f.rows[key]
+	if row.ETag == ifNoneMatch && ifNoneMatch != "" {
+		return platform.Row{}, false, nil
+	}
+	return row, true, nil
+}
+
+func (f *fake) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []platform.Row
+	for k, r := range f.rows {
+		if strings.HasPrefix(k, prefix) {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+func (f *fake) Commit(_ context.Context, writes []platform.Write) ([]string, error) {
+	head := writes[0].Key == CurrentKey
+	if head && f.before != nil {
+		f.before()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, fault.New(fault.KindStoreUnavailable, "down")
+	}
+	a := applied
+	if head && len(f.script) > 0 {
+		a, f.script = f.script[0], f.script[1:]
+	}
+	switch a {
+	case refused:
+		return nil, fault.New(fault.KindStoreUnavailable, "refused")
+	case lostBefore:
+		return nil, fault.New(fault.KindStoreAmbiguous, "no answer")
+	}
+	etags, err := f.apply(writes)
+	if a == lostAfter && err == nil {
+		return nil, fault.New(fault.KindStoreAmbiguous, "no answer")
+	}
+	return etags, err
+}
+
+func (f *fake) apply(writes []platform.Write) ([]string, error) {
+	for _, w := range writes {
+		if f.rows[w.Key].ETag != w.IfMatch {
+			return nil, fault.New(fault.KindEditConflict, "row %s", w.Key)
+		}
+	}
+	f.now = f.now.Add(time.Second)
+	var etags []string
+	for _, w := range writes {
+		f.etag++
+		etags = append(etags, fmt.Sprint(f.etag))
+		f.rows[w.Key] = platform.Row{Key: w.Key, ETag: fmt.Sprint(f.etag), Value: w.Value, ModifiedAt: f.now}
+	}
+	return etags, nil
+}
+
+func (f *fake) PutObject(_ context.Context, name string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[name] = data
+	return nil
+}
+
+func (f *fake) GetObject(_ context.Context, name string) ([]byte, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	data, ok := f.objects[name]
+	return data, ok, nil
+}
--- /dev/null
+++ b/pkg/tablestore/head.go
@@ -0,0 +1,162 @@
+// Package tablestore keeps the accepted versions of the tables on the
+// platform: the head and the history as rows of the table service, the
+// content in the object store under its hash.
+package tablestore
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// The keys of the rows and the prefix of the objects.
+const (
+	CurrentKey    = "tables/current"
+	HistoryPrefix = "tables/history/"
+	ObjectPrefix  = "tables/"
+	// ClockKey is written before an edit to learn the platform's time.
+	ClockKey = "tables/clock"
+)
+
+// Head names one accepted version of the tables.
+type Head struct {
+	Version uint64 `json:"version"`
+	// EditID identifies the edit that made this version.
+	EditID string `json:"edit_id"`
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+	// Object names the content in the object store.
+	Object string `json:"object"`
+	// AcceptedAt is the platform's time of acceptance. The stored rows leave
+	// it out: it is their time of modification.
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
+}
+
+// HistoryKey returns the key of the history row of a version.
+func HistoryKey(version uint64) string {
+	return fmt.Sprintf("%s%020d", HistoryPrefix, version)
+}
+
+// ReadHead reads the head. When it still has the ETag etag, changed is false.
+// Before the first edit the head is zero and its ETag empty.
+func ReadHead(ctx context.Context, t platform.Tables, etag string) (h Head, newETag string, changed bool, err error) {
+	row, changed, err := t.Get(ctx, CurrentKey, etag)
+	if err != nil {
+		return Head{}, etag, false, err
+	}
+	if !changed {
+		return Head{}, etag, false, nil
+	}
+	h, err = headOf(row)
+	return h, row.ETag, true, err
+}
+
+// ReadVersion reads the head of one version; found is false when that version
+// has not been accepted.
+func ReadVersion(ctx context.Context, t platform.Tables, version uint64) (h Head, found bool, err error) {
+	row, _, err := t.Get(ctx, HistoryKey(version), "")
+	if err != nil || row.ETag == "" {
+		return Head{}, false, err
+	}
+	h, err = headOf(row)
+	return h, true, err
+}
+
+// History reads the heads of all versions, the oldest first.
+func History(ctx context.Context, t platform.Tables) ([]Head, error) {
+	rows, err := t.List(ctx, HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	heads := make([]Head, 0, len(rows))
+	for _, row := range rows {
+		h, err := headOf(row)
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, h)
+	}
+	return heads, nil
+}
+
+// headOf decodes a row; a missing row is the zero head.
+func headOf(row platform.Row) (Head, error) {
+	if row.ETag == "" {
+		return Head{}, nil
+	}
+	var h Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return Head{}, fault.Wrap(fault.KindInvalidTable, err, "row %s can't be read", row.Key)
+	}
+	h.AcceptedAt = row.ModifiedAt
+	return h, nil
+}
+
+// Load reads the content of h, checks its hash and validates it. The result
+// has its defaults filled, and the version and time of acceptance of h. The
+// zero head gives empty tables.
+func Load(ctx context.Context, o platform.Objects, h Head) (*table.Tables, error) {
+	t, err := LoadAccepted(ctx, o, h)
+	if err != nil {
+		return nil, err
+	}
+	return t.WithDefaults(), nil
+}
+
+// LoadAccepted is Load without the defaults: the tables as they were edited.
+func LoadAccepted(ctx context.Context, o platform.Objects, h Head) (*table.Tables, error) {
+	if h.Version == 0 {
+		return &table.Tables{}, nil
+	}
+	data, found, err := o.GetObject(ctx, h.Object)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fault.New(fault.KindStoreUnavailable, "object %s of version %d is missing", h.Object, h.Version)
+	}
+	return Decode(data, h)
+}
+
+// Decode checks data against the hash and version of h and validates it.
+func Decode(data []byte, h Head) (*table.Tables, error) {
+	if name := objectName(data); name != h.Object {
+		return nil, fault.New(fault.KindInvalidTable, "version %d: content has the name %s in place of %s", h.Version, name, h.Object)
+	}
+	t := &table.Tables{}
+	if err := json.Unmarshal(data, t); err != nil {
+		return nil, fault.Wrap(fault.KindInvalidTable, err, "version %d can't be read", h.Version)
+	}
+	if t.Version != h.Version {
+		return nil, fault.New(fault.KindInvalidTable, "the content of version %d says version %d", h.Version, t.Version)
+	}
+	if err := t.Validate(); err != nil {
+		return nil, err
+	}
+	t.AcceptedAt = h.AcceptedAt
+	return t, nil
+}
+
+// Encode returns the canonical content of t and the name of its object.
+func Encode(t *table.Tables) (name string, data []byte, err error) {
+	c := t.Clone()
+	c.AcceptedAt = time.Time{}
+	data, err = json.Marshal(c)
+	if err != nil {
+		return "", nil, err
+	}
+	return objectName(data), data, nil
+}
+
+// objectName returns the name of the object that holds data.
+func objectName(data []byte) string {
+	sum := sha256.Sum256(data)
+	return ObjectPrefix + hex.EncodeToString(sum[:])
+}
