Serve the thin path of a request in one instance

Cause: no part of the path from a caller to a target existed.

Weighed: the round trip of http.Transport repeats requests on its own: on a reused connection that fails it sends again GET, HEAD, OPTIONS and TRACE without a body, and any method with an Idempotency-Key field and a body that can be rewound. A route marked "never" could so run twice. http.ClientConn sends one request on one connection and repeats nothing, so the pool of connections is the project's own (pkg/peer/upstream), with the bytes counted beneath it: "not run" is said only when no write was accepted.

--- /dev/null
+++ b/pkg/node/cluster.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Cluster is what an instance learns from the platform and from the other
+// instances. The methods that return a view are cheap, never block, and may
+// be called from several goroutines at once.
+type Cluster interface {
+	// Run works until ctx ends.
+	Run(ctx context.Context) error
+	// Updates receives a value after any of the views below has changed.
+	Updates() <-chan struct{}
+	// Tables returns the highest accepted version known, or nil.
+	Tables() *table.Tables
+	// Rejected returns the highest version that could not be read, or 0.
+	Rejected() uint64
+	// Shares returns what this instance may use at present.
+	Shares() steer.Shares
+	// Instances returns the live and leaving instances of all zones.
+	Instances() []platform.Instance
+	// Summaries returns the latest summaries of other zones.
+	Summaries() []steer.ZoneSummary
+	// Leave announces that this instance is leaving.
+	Leave(ctx context.Context) error
+	// HandBack gives back what this instance holds, once nothing is in flight.
+	HandBack(ctx context.Context) error
+}
--- /dev/null
+++ b/pkg/node/exchange.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+)
+
+// exchange is one request on its way through this instance.
+type exchange struct {
+	node  *Node
+	view  *view
+	w     http.ResponseWriter
+	in    *http.Request
+	ctx   context.Context
+	relay *caller.Relay
+	body  *upstream.Body
+	req   steer.Request
+	// broken is set when the answer ended before its whole body.
+	broken bool
+}
+
+// errNoInstance is the cause when a zone has no instance to pass a request to.
+var errNoInstance = errors.New("no instance of the zone is known")
+
+// run brings the request to its answer.
+func (x *exchange) run() {
+	body, err := upstream.NewBody(x.in, x.req.Route.MaxBody)
+	if err != nil {
+		x.refuse(bodyRefusal(err))
+		return
+	}
+	x.body = body
+	x.req.BodyBytes = body.Length()
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		return x.relay.Interim(code, h)
+	}}
+	x.ctx = httptrace.WithClientTrace(x.ctx, trace)
+	for {
+		d := x.decide()
+		if d.Verdict == steer.Refuse {
+			x.refuse(caller.Refusal{Kind: d.Kind, RetryAfter: d.RetryAfter})
+			return
+		}
+		err := x.attempt(d)
+		if err == nil {
+			return
+		}
+		if !x.mayRetry(err) {
+			x.refuse(caller.RefusalOf(err))
+			return
+		}
+	}
+}
+
+// bodyRefusal answers for a body that could not be read before the dispatch.
+func bodyRefusal(err error) caller.Refusal {
+	if errors.Is(err, upstream.ErrBodyTooLarge) {
+		return caller.Refusal{Kind: fault.KindBodyTooLarge, Message: err.Error()}
+	}
+	return caller.Refusal{Kind: fault.KindBadRequest, Message: "the body ended early or is malformed: " + err.Error()}
+}
+
+// decide returns the final decision, after a wait if there is one.
+func (x *exchange) decide() steer.Decision {
+	d := x.node.core.Decide(x.node.now(), &x.req)
+	if d.Verdict != steer.Wait {
+		return d
+	}
+	place := x.node.waiters.place(d.Ticket)
+	defer x.node.waiters.forget(d.Ticket)
+	select {
+	case final := <-place:
+		return final
+	case <-x.ctx.Done():
+	}
+	if x.node.core.Cancel(x.node.now(), d.Ticket) {
+		return steer.Decision{Kind: x.endKind()}
+	}
+	return <-place
+}
+
+// endKind says why the request's context ended before a dispatch.
+func (x *exchange) endKind() fault.Kind {
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		return fault.KindDeadlinePassed
+	}
+	return fault.KindCallerGone
+}
+
+// mayRetry reports whether another decision may follow the failure err.
+func (x *exchange) mayRetry(err error) bool {
+	if x.ctx.Err() != nil || !x.body.Replayable() {
+		return false
+	}
+	return x.node.core.MayRetry(x.node.now(), &x.req, steer.Result{Kind: fault.KindOf(err)})
+}
+
+// attempt carries out d. Without an error the answer has been given.
+func (x *exchange) attempt(d steer.Decision) error {
+	x.req.Attempts++
+	start := x.node.now()
+	var res steer.Result
+	var err error
+	defer func() {
+		x.node.waiters.deliver(x.node.core.Done(x.node.now(), d, res))
+	}()
+	if d.Verdict == steer.Hop {
+		x.req.Exclude(d.Zone)
+		err = x.hop(d, start, &res)
+	} else {
+		x.req.Exclude(d.Target)
+		err = x.dispatch(d, start, &res)
+	}
+	if err != nil {
+		res.Kind = fault.KindOf(err)
+	}
+	return err
+}
+
+// latencySince is the time to the first byte of the answer.
+func (x *exchange) latencySince(start time.Time) time.Duration { return x.node.now().Sub(start) }
+
+// refuse answers in the system's own name.
+func (x *exchange) refuse(f caller.Refusal) {
+	x.relay.Seal()
+	f.Write(x.w)
+}
--- /dev/null
+++ b/pkg/node/handler.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// bareRouter returns a router that changes nothing of a request's path.
+func bareRouter(fallback http.HandlerFunc) *httprouter.Router {
+	r := httprouter.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.HandleMethodNotAllowed = false
+	r.HandleOPTIONS = false
+	r.NotFound = fallback
+	return r
+}
+
+// callerHandler serves look-ups and requests.
+func (n *Node) callerHandler() http.Handler {
+	r := bareRouter(n.serveRequest)
+	r.GET(wire.PathLookup, n.serveLookup)
+	return r
+}
+
+// hopHandler serves requests passed on by other instances.
+func (n *Node) hopHandler() http.Handler { return http.HandlerFunc(n.serveHop) }
+
+// serveRequest serves a caller's request.
+func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderInstance, n.self.ID)
+	v := n.view.Load()
+	route, f := n.admit(v, r)
+	if f != nil {
+		f.Write(w)
+		return
+	}
+	n.runExchange(w, r, v, route, "")
+}
+
+// admit matches the route of a caller's request, or refuses it.
+func (n *Node) admit(v *view, r *http.Request) (*table.Route, *caller.Refusal) {
+	switch {
+	case n.refusesWork():
+		return nil, &caller.Refusal{Kind: fault.KindLeaving}
+	case r.Method == http.MethodConnect:
+		return nil, &caller.Refusal{Kind: fault.KindBadRequest, Message: "CONNECT is not served"}
+	case v.tables.Version == 0:
+		return nil, &caller.Refusal{Kind: fault.KindNotReady, Message: "no tables yet"}
+	}
+	route := v.matcher.Match(r.Host, r.URL.Path)
+	if route == nil {
+		return nil, &caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no route for host " + r.Host + " and path " + r.URL.Path}
+	}
+	return route, nil
+}
+
+// serveHop serves a request that another instance has matched already.
+func (n *Node) serveHop(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderInstance, n.self.ID)
+	ch, err := hop.ReadChoice(r)
+	if err != nil {
+		caller.RefusalOf(err).Write(w)
+		return
+	}
+	if n.refusesWork() {
+		caller.Refusal{Kind: fault.KindHopRefused, Message: "the instance is leaving"}.Write(w)
+		return
+	}
+	v := n.view.Load()
+	route := v.tables.Route(ch.Route)
+	if route == nil || v.tables.Pool(ch.Pool) == nil {
+		f := caller.Refusal{Kind: fault.KindHopRefused, Message: "route or pool is not known in this version"}
+		f.Write(w)
+		return
+	}
+	n.runExchange(w, r, v, route, ch.Pool)
+}
+
+// runExchange serves r on route; pool is set when it has been chosen already.
+func (n *Node) runExchange(w http.ResponseWriter, r *http.Request, v *view, route *table.Route, pool string) {
+	now := n.now()
+	fields, err := caller.ReadFields(r.Header)
+	if err != nil {
+		caller.RefusalOf(err).Write(w)
+		return
+	}
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if pool == "" {
+		dropHopFields(r.Header)
+	}
+	deadline := now.Add(route.Timeout.Std())
+	if fields.Deadline > 0 {
+		deadline = minTime(deadline, now.Add(fields.Deadline))
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	x := &exchange{
+		node: n, view: v, w: w, in: r, ctx: ctx, relay: caller.NewRelay(w),
+		req: steer.Request{
+			Route:      route,
+			Pool:       pool,
+			Member:     fields.Member,
+			Idempotent: fields.Mark(route, r.Method),
+			Arrived:    now,
+			Deadline:   deadline,
+		},
+	}
+	x.guardCaller()
+	x.run()
+	if x.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// guardCaller bounds reading from and writing to the caller by the deadline,
+// and lets an answer begin before the request's body has ended.
+func (x *exchange) guardCaller() {
+	rc := http.NewResponseController(x.w)
+	// A connection without deadlines or full duplex is served without them.
+	_ = rc.EnableFullDuplex()
+	_ = rc.SetReadDeadline(x.req.Deadline.Add(callerGrace))
+	_ = rc.SetWriteDeadline(x.req.Deadline.Add(callerGrace))
+}
+
+// callerGrace is how long after the deadline the answer may be written.
+const callerGrace = time.Second
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// dropHopFields removes what only other instances may state.
+func dropHopFields(h http.Header) {
+	for field := range h {
+		if hop.IsHopField(field) {
+			delete(h, field)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/node/lookup.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// serveLookup answers which instances to use.
+func (n *Node) serveLookup(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	w.Header().Set(wire.HeaderInstance, n.self.ID)
+	v := n.view.Load()
+	if v.tables.Version == 0 {
+		f := caller.Refusal{Kind: fault.KindNotReady, Message: "no tables yet"}
+		f.Write(w)
+		return
+	}
+	route := lookupRoute(v, r)
+	if route == nil {
+		f := caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no such route; give route, or host and path"}
+		f.Write(w)
+		return
+	}
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	at := lookup.Place{Zone: n.self.Zone, Region: n.self.Region}
+	writeJSON(w, lookup.Answer(v.tables.Version, route, at, v.lookups, rnd))
+}
+
+// lookupRoute returns the route that a look-up asks for, or nil.
+func lookupRoute(v *view, r *http.Request) *table.Route {
+	q := r.URL.Query()
+	if name := q.Get("route"); name != "" {
+		return v.tables.Route(name)
+	}
+	return v.matcher.Match(q.Get("host"), q.Get("path"))
+}
+
+// writeJSON answers with value as JSON.
+func writeJSON(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Write(body)
+}
+
+// random returns a number from 0 up to limit.
+func (n *Node) random(limit int) int { return rand.IntN(limit) }
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,152 @@
+// Package node wires one instance together: the listeners, the decisions, the
+// connections to targets and other instances, and the steps of its life.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+)
+
+// Listeners are the open listeners of an instance.
+type Listeners struct {
+	Caller net.Listener
+	Hop    net.Listener
+	Admin  net.Listener
+}
+
+// Config is what a Node is made of.
+type Config struct {
+	Settings *settings.Settings
+	// Self is the entry of this instance in the platform's list, with the
+	// addresses that the listeners really have.
+	Self      platform.Instance
+	Listeners Listeners
+	Cluster   Cluster
+	Log       *zap.Logger
+	// Seed starts the random choices.
+	Seed uint64
+}
+
+// Node is one instance.
+type Node struct {
+	settings  *settings.Settings
+	self      platform.Instance
+	listeners Listeners
+	cluster   Cluster
+	log       *zap.Logger
+	core      *steer.Core
+	dialer    *upstream.Dialer
+	waiters   *waiters
+	view      atomic.Pointer[view]
+	stage     atomic.Int32
+	inFlight  atomic.Int64
+	now       func() time.Time
+}
+
+// tickInterval is the time between two looks at the queued requests.
+const tickInterval = 5 * time.Millisecond
+
+// New returns a Node; Run starts it.
+func New(c Config) *Node {
+	place := steer.Self{Instance: c.Self.ID, Zone: c.Self.Zone, Region: c.Self.Region}
+	n := &Node{
+		settings:  c.Settings,
+		self:      c.Self,
+		listeners: c.Listeners,
+		cluster:   c.Cluster,
+		log:       c.Log,
+		core:      steer.New(place, rand.NewPCG(c.Seed, c.Seed^uint64(len(c.Self.ID)))),
+		dialer:    upstream.NewDialer(upstream.Options{DialTimeout: c.Settings.Limits.DialTimeout.Std()}),
+		waiters:   newWaiters(),
+		now:       time.Now,
+	}
+	n.stage.Store(stageServing)
+	n.view.Store(emptyView())
+	return n
+}
+
+// Core returns the decisions, for what feeds them.
+func (n *Node) Core() *steer.Core { return n.core }
+
+// Run serves until ctx ends, then leaves in steps without cutting off any
+// request. The error is that of a listener that failed.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { n.runCluster(background) })
+	wg.Go(func() { n.follow(background) })
+	wg.Go(func() { n.tick(background) })
+	err := n.serve(ctx)
+	stop()
+	wg.Wait()
+	n.closeClients()
+	return err
+}
+
+// runCluster runs the cluster's own work.
+func (n *Node) runCluster(ctx context.Context) {
+	if err := n.cluster.Run(ctx); err != nil && ctx.Err() == nil {
+		n.log.Error("cluster stopped", zap.Error(err))
+	}
+}
+
+// follow brings the cluster's news into the decisions.
+func (n *Node) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.cluster.Updates():
+			n.takeNews()
+		}
+	}
+}
+
+// takeNews puts the cluster's present views in force.
+func (n *Node) takeNews() {
+	now := n.now()
+	old := n.view.Load().tables.Version
+	n.refresh()
+	if t := n.cluster.Tables(); t != nil {
+		n.core.SetTables(now, t)
+		n.core.SetShares(now, n.cluster.Shares())
+	}
+	for _, s := range n.cluster.Summaries() {
+		n.core.ObserveZone(now, s)
+	}
+	if v := n.view.Load().tables.Version; v != old {
+		n.log.Info("tables in force", zap.Uint64("version", v))
+	}
+}
+
+// tick wakes queued requests whose time has come.
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.waiters.deliver(n.core.Tick(n.now()))
+		}
+	}
+}
+
+// closeClients closes every idle connection.
+func (n *Node) closeClients() {
+	v := n.view.Load()
+	closeGone(v, &view{})
+}
--- /dev/null
+++ b/pkg/node/serve.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// The stages of an instance's life.
+const (
+	// stageServing: in the look-up answers and serving.
+	stageServing int32 = iota
+	// stageLeaving: out of the look-up answers, still serving.
+	stageLeaving
+	// stageRefusing: no new work; what is in flight ends.
+	stageRefusing
+)
+
+// leaving reports whether the instance has begun to leave.
+func (n *Node) leaving() bool { return n.stage.Load() >= stageLeaving }
+
+// refusesWork reports whether new work is refused.
+func (n *Node) refusesWork() bool { return n.stage.Load() >= stageRefusing }
+
+// serve runs the listeners until ctx ends and the instance has left.
+func (n *Node) serve(ctx context.Context) error {
+	servers := []*http.Server{
+		n.server(n.callerHandler()),
+		n.server(n.hopHandler()),
+		n.server(n.adminHandler()),
+	}
+	listeners := []net.Listener{n.listeners.Caller, n.listeners.Hop, n.listeners.Admin}
+	failed := make(chan error, len(servers))
+	var wg conc.WaitGroup
+	for i, s := range servers {
+		wg.Go(func() { failed <- s.Serve(listeners[i]) })
+	}
+	n.log.Info("serving", zap.String("caller", n.self.CallerAddress), zap.String("incarnation", n.self.Incarnation))
+	var err error
+	select {
+	case <-ctx.Done():
+		n.leave()
+	case err = <-failed:
+	}
+	for _, s := range servers {
+		stop(s)
+	}
+	wg.Wait()
+	return err
+}
+
+// stop closes a server whose requests have ended.
+func stop(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.Close()
+	}
+}
+
+// stopTimeout bounds the closing of idle connections.
+const stopTimeout = 2 * time.Second
+
+// server returns a server with the limits of the settings.
+func (n *Node) server(h http.Handler) *http.Server {
+	l := n.settings.Limits
+	return &http.Server{
+		Handler:                      h,
+		ReadHeaderTimeout:            l.HeaderTimeout.Std(),
+		IdleTimeout:                  l.IdleTimeout.Std(),
+		MaxHeaderBytes:               l.MaxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     log.New(zapWriter{n.log}, "", 0),
+	}
+}
+
+// zapWriter brings the HTTP library's messages into the log.
+type zapWriter struct{ log *zap.Logger }
+
+// Write logs one message.
+func (z zapWriter) Write(b []byte) (int, error) {
+	z.log.Debug("http", zap.ByteString("message", b))
+	return len(b), nil
+}
+
+// leave takes the instance out in steps: out of the look-up answers, no new
+// work once the answers given out have expired, then the wait for what is in
+// flight, then the hand back.
+func (n *Node) leave() {
+	n.stage.Store(stageLeaving)
+	n.log.Info("leaving")
+	n.call("announce leaving", n.cluster.Leave)
+	time.Sleep(n.settings.Leave.MinLookupTTL.Std())
+	n.stage.Store(stageRefusing)
+	for n.inFlight.Load() > 0 {
+		time.Sleep(leavePoll)
+	}
+	n.call("hand back", n.cluster.HandBack)
+	n.log.Info("left")
+}
+
+// leavePoll is the time between two looks at what is in flight.
+const leavePoll = 5 * time.Millisecond
+
+// call runs f within the platform's timeout.
+func (n *Node) call(what string, f func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Platform.Timeout.Std())
+	defer cancel()
+	if err := f(ctx); err != nil {
+		n.log.Warn(what, zap.Error(err))
+	}
+}
--- /dev/null
+++ b/pkg/peer/caller/relay.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"sync"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+)
+
+// copyBufferBytes is the size of the buffer between an answer and a caller.
+const copyBufferBytes = 32 << 10
+
+var buffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
+// Relay passes an answer on.
+type Relay struct {
+	w http.ResponseWriter
+	// mu orders interim answers before the final one.
+	mu      sync.Mutex
+	started bool
+}
+
+// NewRelay returns a Relay to w.
+func NewRelay(w http.ResponseWriter) *Relay { return &Relay{w: w} }
+
+// Interim passes on an interim (1xx) answer. It is safe to call from another
+// goroutine than Final; after Final it does nothing.
+func (r *Relay) Interim(code int, header textproto.MIMEHeader) error {
+	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.started {
+		return nil
+	}
+	h := r.w.Header()
+	own := h.Clone()
+	upstream.CopyHeader(h, http.Header(header), isOwnField)
+	r.w.WriteHeader(code)
+	clear(h)
+	for k, v := range own {
+		h[k] = v
+	}
+	return nil
+}
+
+// Seal ends the time of interim answers.
+func (r *Relay) Seal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started = true
+}
+
+// ownPrefix starts the header fields of the system itself.
+const ownPrefix = "Jacinthramp-"
+
+func isOwnField(field string) bool { return strings.HasPrefix(field, ownPrefix) }
+
+// Head is the header of a final answer, and what of its body has been read
+// before.
+type Head struct {
+	Status int
+	Header http.Header
+	// Trailer is filled in once the body has been read.
+	Trailer http.Header
+	// Length is the announced length of the body, or -1.
+	Length int64
+}
+
+// Final writes the header of the final answer. skip keeps fields back.
+func (r *Relay) Final(head Head, skip func(string) bool) {
+	r.Seal()
+	h := r.w.Header()
+	upstream.CopyHeader(h, head.Header, skip)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	for k := range head.Trailer {
+		h.Add("Trailer", k)
+	}
+	r.w.WriteHeader(head.Status)
+}
+
+// Body copies body; streaming answers are flushed as they come. errRead is a
+// failure of the answer, errWrite one of the caller.
+func (r *Relay) Body(body io.Reader, head Head) (errRead, errWrite error) {
+	flush := head.Length < 0
+	buf := buffers.Get().(*[copyBufferBytes]byte)
+	defer buffers.Put(buf)
+	rc := http.NewResponseController(r.w)
+	if flush {
+		if err := rc.Flush(); err != nil {
+			return nil, err
+		}
+	}
+	for {
+		n, err := body.Read(buf[:])
+		if n > 0 {
+			if _, werr := r.w.Write(buf[:n]); werr != nil {
+				return nil, werr
+			}
+			if flush {
+				if werr := rc.Flush(); werr != nil {
+					return nil, werr
+				}
+			}
+		}
+		if err == io.EOF {
+			r.trailer(head.Trailer)
+			return nil, nil
+		}
+		if err != nil {
+			return err, nil
+		}
+	}
+}
+
+// trailer writes the trailer fields.
+func (r *Relay) trailer(t http.Header) {
+	h := r.w.Header()
+	for k, vs := range t {
+		if !isOwnField(k) {
+			h[http.TrailerPrefix+k] = vs
+		}
+	}
+}
--- /dev/null
+++ b/pkg/peer/upstream/request.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"net/http"
+	"net/url"
+)
+
+// NewRequest returns the request to send to address in place of in: the same
+// method, path, query, host and end-to-end fields, without the fields that
+// skip accepts.
+func NewRequest(in *http.Request, address string, body *Body, skip func(field string) bool) *http.Request {
+	out := &http.Request{
+		Method: in.Method,
+		URL: &url.URL{
+			Scheme:     "http",
+			Host:       address,
+			Path:       in.URL.Path,
+			RawPath:    in.URL.RawPath,
+			RawQuery:   in.URL.RawQuery,
+			ForceQuery: in.URL.ForceQuery,
+		},
+		Host:          in.Host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        make(http.Header, len(in.Header)+4),
+		Body:          body.Attempt(),
+		ContentLength: body.Length(),
+		Trailer:       in.Trailer,
+	}
+	CopyHeader(out.Header, in.Header, skip)
+	if acceptsTrailers(in.Header) {
+		out.Header["Te"] = []string{"trailers"}
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = []string{""}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// problem is one refused setting.
+type problem struct {
+	key      string
+	value    string
+	accepted string
+}
+
+// error turns p into the error that is shown.
+func (p *problem) error(file string, line int) error {
+	if p.value == "" {
+		return fault.New(fault.KindInvalidSettings, "%s:%d: %s: is required; accepted: %s", file, line, p.key, p.accepted)
+	}
+	return fault.New(fault.KindInvalidSettings, "%s:%d: %s: %q is refused; accepted: %s", file, line, p.key, p.value, p.accepted)
+}
+
+const (
+	acceptedName    = "1 to 63 lower-case letters, digits and \"-\""
+	acceptedAddress = "an IP address and a port, such as 127.0.0.1:7411"
+	acceptedURL     = "an http or https URL, such as http://127.0.0.1:7400"
+	acceptedTime    = "a time above zero with a unit, such as 500ms"
+	acceptedHeader  = "4096 to 1048576 bytes"
+)
+
+const (
+	minHeaderBytes = 4 << 10
+	maxHeaderBytes = 1 << 20
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// check returns the first refused setting, or nil.
+func check(s *Settings) *problem {
+	for _, c := range []func(*Settings) *problem{checkNames, checkAddresses, checkPlatform, checkTimes, checkLimits, checkTelemetry} {
+		if p := c(s); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func checkNames(s *Settings) *problem {
+	for _, f := range []struct{ key, value string }{
+		{"instance.id", s.Instance.ID},
+		{"instance.zone", s.Instance.Zone},
+		{"instance.region", s.Instance.Region},
+	} {
+		if !namePattern.MatchString(f.value) {
+			return &problem{f.key, f.value, acceptedName}
+		}
+	}
+	return nil
+}
+
+func checkAddresses(s *Settings) *problem {
+	seen := make(map[netip.AddrPort]string)
+	for _, f := range []struct{ key, value string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.hop", s.Listen.Hop},
+		{"listen.peer", s.Listen.Peer},
+		{"listen.admin", s.Listen.Admin},
+	} {
+		a, err := netip.ParseAddrPort(f.value)
+		if err != nil {
+			return &problem{f.key, f.value, acceptedAddress}
+		}
+		if other, ok := seen[a]; ok && a.Port() != 0 {
+			return &problem{f.key, f.value, "an address that " + other + " does not use"}
+		}
+		seen[a] = f.key
+	}
+	return nil
+}
+
+func checkPlatform(s *Settings) *problem {
+	if !isURL(s.Platform.URL) {
+		return &problem{"platform.url", s.Platform.URL, acceptedURL}
+	}
+	return nil
+}
+
+func isURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+func checkTimes(s *Settings) *problem {
+	for _, f := range []struct {
+		key   string
+		value Duration
+	}{
+		{"platform.timeout", s.Platform.Timeout},
+		{"platform.poll_interval", s.Platform.PollInterval},
+		{"limits.header_timeout", s.Limits.HeaderTimeout},
+		{"limits.idle_timeout", s.Limits.IdleTimeout},
+		{"limits.dial_timeout", s.Limits.DialTimeout},
+		{"probe.interval", s.Probe.Interval},
+		{"probe.timeout", s.Probe.Timeout},
+		{"leave.min_lookup_ttl", s.Leave.MinLookupTTL},
+	} {
+		if f.value <= 0 {
+			return &problem{f.key, f.value.Std().String(), acceptedTime}
+		}
+	}
+	return nil
+}
+
+func checkLimits(s *Settings) *problem {
+	if n := s.Limits.MaxHeaderBytes; n < minHeaderBytes || n > maxHeaderBytes {
+		return &problem{"limits.max_header_bytes", strconv.Itoa(n), acceptedHeader}
+	}
+	return nil
+}
+
+func checkTelemetry(s *Settings) *problem {
+	if !oneOf(s.Log.Level, "debug", "info", "warn", "error") {
+		return &problem{"log.level", s.Log.Level, "debug, info, warn, error"}
+	}
+	if !oneOf(s.Traces.Exporter, "none", "stdout", "otlp") {
+		return &problem{"traces.exporter", s.Traces.Exporter, "none, stdout, otlp"}
+	}
+	if s.Traces.Exporter == "otlp" && !isURL(s.Traces.Endpoint) {
+		return &problem{"traces.endpoint", s.Traces.Endpoint, acceptedURL}
+	}
+	if r := s.Traces.SampleRatio; !(r >= 0 && r <= 1) {
+		return &problem{"traces.sample_ratio", "out of range", "a fraction from 0 to 1"}
+	}
+	return nil
+}
+
+func oneOf(v string, accepted ...string) bool {
+	for _, a := range accepted {
+		if v == a {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,145 @@
+// Package settings reads and checks the YAML settings of an instance. It is
+// strict: an unknown key, a bad value or a missing required setting is an
+// error that names the file, the line, the key and what is accepted.
+package settings
+
+import (
+	"time"
+)
+
+// Settings configures one instance.
+type Settings struct {
+	// Instance says who and where this instance is. Required.
+	Instance Instance `yaml:"instance"`
+	// Listen holds the addresses of the listeners. Required.
+	Listen Listen `yaml:"listen"`
+	// Platform locates the table service, the object store and the list.
+	Platform Platform `yaml:"platform"`
+	// Limits bounds what one instance takes in.
+	Limits Limits `yaml:"limits"`
+	// Probe sets how targets are watched.
+	Probe Probe `yaml:"probe"`
+	// Leave sets how a planned stop proceeds.
+	Leave Leave `yaml:"leave"`
+	// Log sets what is logged.
+	Log Log `yaml:"log"`
+	// Traces sets where spans go.
+	Traces Traces `yaml:"traces"`
+}
+
+// Instance is the identity and place of an instance.
+type Instance struct {
+	// ID is unique over all instances: 1 to 63 letters, digits and "-". Required.
+	ID string `yaml:"id"`
+	// Zone is the availability zone. Required.
+	Zone string `yaml:"zone"`
+	// Region is the region of the zone. Required.
+	Region string `yaml:"region"`
+}
+
+// Listen holds the IP address and port of each listener.
+type Listen struct {
+	// Caller serves look-ups and requests. Required.
+	Caller string `yaml:"caller"`
+	// Hop serves requests passed on by other instances. Required.
+	Hop string `yaml:"hop"`
+	// Peer serves the instances' own protocol. Required.
+	Peer string `yaml:"peer"`
+	// Admin serves status, metrics and explanations. Required.
+	Admin string `yaml:"admin"`
+}
+
+// Platform locates the platform's services.
+type Platform struct {
+	// URL is the base of the platform's HTTP interface. Required.
+	URL string `yaml:"url"`
+	// Timeout bounds one call. Default 2s.
+	Timeout Duration `yaml:"timeout"`
+	// PollInterval is the time between two reads of the table version and of
+	// the list of instances. Default 500ms.
+	PollInterval Duration `yaml:"poll_interval"`
+}
+
+// Limits bounds what one instance takes in.
+type Limits struct {
+	// MaxHeaderBytes bounds the header of a request. Default 65536.
+	MaxHeaderBytes int `yaml:"max_header_bytes"`
+	// HeaderTimeout bounds the reading of a request's header. Default 5s.
+	HeaderTimeout Duration `yaml:"header_timeout"`
+	// IdleTimeout closes callers' connections without requests. Default 60s.
+	IdleTimeout Duration `yaml:"idle_timeout"`
+	// DialTimeout bounds the opening of a connection. Default 1s.
+	DialTimeout Duration `yaml:"dial_timeout"`
+}
+
+// Probe sets how targets are watched.
+type Probe struct {
+	// Interval is the time between two probes of one target. Default 500ms.
+	Interval Duration `yaml:"interval"`
+	// Timeout bounds one probe. Default 400ms.
+	Timeout Duration `yaml:"timeout"`
+}
+
+// Leave sets how a planned stop proceeds.
+type Leave struct {
+	// MinLookupTTL is the shortest time between leaving the look-up answers
+	// and refusing new work; the longest time to live of the answers given
+	// out counts when it is longer. Default 1s.
+	MinLookupTTL Duration `yaml:"min_lookup_ttl"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `yaml:"level"`
+}
+
+// Traces sets where spans go.
+type Traces struct {
+	// Exporter is none, stdout or otlp. Default none.
+	Exporter string `yaml:"exporter"`
+	// Endpoint is the URL of the OTLP collector; required with otlp.
+	Endpoint string `yaml:"endpoint"`
+	// SampleRatio is the fraction of new traces that is recorded, from 0 to
+	// 1. Traces begun by a caller follow the caller's choice. Default 0.01.
+	SampleRatio float64 `yaml:"sample_ratio"`
+}
+
+// Duration is a time span written as text such as "500ms".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// UnmarshalText reads text such as "500ms".
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Default returns the settings with every optional value filled in.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout:      Duration(2 * time.Second),
+			PollInterval: Duration(500 * time.Millisecond),
+		},
+		Limits: Limits{
+			MaxHeaderBytes: 64 << 10,
+			HeaderTimeout:  Duration(5 * time.Second),
+			IdleTimeout:    Duration(60 * time.Second),
+			DialTimeout:    Duration(time.Second),
+		},
+		Probe: Probe{
+			Interval: Duration(500 * time.Millisecond),
+			Timeout:  Duration(400 * time.Millisecond),
+		},
+		Leave:  Leave{MinLookupTTL: Duration(time.Second)},
+		Log:    Log{Level: "info"},
+		Traces: Traces{Exporter: "none", SampleRatio: 0.01},
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+const valid = `instance:
+  id: a-1
+  zone: osrednja-a
+  region: osrednja
+listen:
+  caller: 127.0.0.1:1
+  hop: 127.0.0.1:2
+  peer: 127.0.0.1:3
+  admin: 127.0.0.1:4
+platform:
+  url: http://127.0.0.1:7400
+`
+
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := Parse("x.yaml", []byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Platform.PollInterval != Default().Platform.PollInterval || s.Limits.MaxHeaderBytes != 64<<10 {
+		t.Fatalf("defaults are missing: %+v", s)
+	}
+}
+
+func TestParseRefusesWithFileLineAndKey(t *testing.T) {
+	for name, c := range map[string]struct{ old, replacement, want string }{
+		"unknown key":           {"  zone: osrednja-a", "  zonne: osrednja-a", "x.yaml:3: instance.zonne"},
+		"missing zone":          {"  zone: osrednja-a\n", "", "x.yaml:2: instance.zone"},
+		"bad address":           {"127.0.0.1:2", "localhost:2", "x.yaml:7: listen.hop"},
+		"missing port":          {"127.0.0.1:2", "127.0.0.1", "x.yaml:7: listen.hop"},
+		"address used twice":    {"127.0.0.1:2", "127.0.0.1:1", "x.yaml:7: listen.hop"},
+		"bad URL":               {"http://127.0.0.1:7400", "ftp://x", "x.yaml:11: platform.url"},
+		"time without a unit":   {"platform:\n", "platform:\n  timeout: 5\n", "x.yaml:11: platform.timeout"},
+		"negative time":         {"platform:\n", "platform:\n  timeout: -5s\n", "x.yaml:11: platform.timeout"},
+		"header bound too low":  {"platform:\n", "limits:\n  max_header_bytes: 1\nplatform:\n", "x.yaml:11: limits.max_header_bytes"},
+		"unknown level":         {"platform:\n", "log:\n  level: loud\nplatform:\n", "x.yaml:11: log.level"},
+		"otlp without endpoint": {"platform:\n", "traces:\n  exporter: otlp\nplatform:\n", "traces.endpoint"},
+		"not YAML":              {"instance:", "instance: [", "x.yaml:"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(valid, c.old, c.replacement, 1)
+			_, err := Parse("x.yaml", []byte(text))
+			if fault.KindOf(err) != fault.KindInvalidSettings {
+				t.Fatalf("err = %v, want kind invalid-settings", err)
+			}
+			if !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("err = %v, want it to name %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/instance*.yaml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("examples: %v, %v", files, err)
+	}
+	for _, f := range files {
+		if _, err := os.Stat(f); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(f); err != nil {
+			t.Errorf("%s: %v", f, err)
+		}
+	}
+}
