Read the admin endpoints of instances

Cause: watch, explain and the check of limits against what is running need what the instances themselves see.

Change: package operator asks all instances of the platform's list, a bounded number at once, and keeps an instance that does not answer as a row of its own.

--- /dev/null
+++ b/pkg/peer/operator/client.go
@@ -0,0 +1,118 @@
+// Package operator talks to the admin listeners of instances on behalf of the
+// operators: their status, and why a request goes where it goes.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+const (
+	// requestTimeout bounds one request to one instance.
+	requestTimeout = 2 * time.Second
+	// maxAnswerBytes bounds what is read of one answer.
+	maxAnswerBytes = 16 << 20
+	// maxConcurrent bounds the instances that are asked at once.
+	maxConcurrent = 64
+)
+
+// Client reads the admin endpoints of instances. It may be used from several
+// goroutines at once.
+type Client struct {
+	http   *http.Client
+	scheme string
+}
+
+// NewClient returns a Client. A nil transport means plain HTTP by a transport
+// of the client's own; with a transport, scheme is "http" or "https".
+func NewClient(rt http.RoundTripper, scheme string) *Client {
+	if rt == nil {
+		rt = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
+	}
+	return &Client{http: &http.Client{Transport: rt}, scheme: scheme}
+}
+
+// Close drops the client's idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Status reads the status of the instance with the given admin address.
+// Error: fault.KindPeerUnavailable.
+func (c *Client) Status(ctx context.Context, address string) (wire.Status, error) {
+	var s wire.Status
+	err := c.get(ctx, address, wire.PathStatus, nil, &s)
+	return s, err
+}
+
+// Explain asks an instance why a request goes where it goes. Errors:
+// fault.KindUnknownRoute, fault.KindPeerUnavailable.
+func (c *Client) Explain(ctx context.Context, address string, q url.Values) (wire.Explanation, error) {
+	var e wire.Explanation
+	err := c.get(ctx, address, wire.PathExplain, q, &e)
+	return e, err
+}
+
+// Report is one instance's entry of the platform's list and its answer.
+type Report struct {
+	Instance platform.Instance
+	Status   wire.Status
+	// Err is set when the instance did not answer.
+	Err error
+}
+
+// StatusOfAll asks all instances, a bounded number at once. The reports are
+// in the order of the list.
+func (c *Client) StatusOfAll(ctx context.Context, list []platform.Instance) []Report {
+	m := iter.Mapper[platform.Instance, Report]{MaxGoroutines: maxConcurrent}
+	return m.Map(list, func(in *platform.Instance) Report {
+		s, err := c.Status(ctx, in.AdminAddress)
+		return Report{Instance: *in, Status: s, Err: err}
+	})
+}
+
+// get reads one JSON answer.
+func (c *Client) get(ctx context.Context, address, path string, q url.Values, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	u := url.URL{Scheme: c.scheme, Host: address, Path: path, RawQuery: q.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return fault.Wrap(fault.KindPeerUnavailable, err, "the admin address %q can't be used", address)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fault.Wrap(fault.KindPeerUnavailable, err, "instance at %s did not answer", address)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fault.Wrap(fault.KindPeerUnavailable, err, "instance at %s broke off its answer", address)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(address, resp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fault.Wrap(fault.KindPeerUnavailable, err, "instance at %s answered what can't be read", address)
+	}
+	return nil
+}
+
+// refusal turns an answer that is not 200 into an error of its stated kind.
+func refusal(address string, status int, body []byte) error {
+	var b wire.ErrorBody
+	if json.Unmarshal(body, &b) == nil {
+		if k, ok := fault.KindByName(b.Kind); ok {
+			return fault.New(k, "%s", b.Message)
+		}
+	}
+	return fault.New(fault.KindPeerUnavailable, "instance at %s answered %d", address, status)
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -139,4 +139,9 @@
 	Targets int `json:"targets"`
 	// Draining counts those that are leaving with work in flight.
 	Draining int `json:"draining"`
+	// LatencyMS is the median and Latency99MS the 99th percentile of the time
+	// to the first byte of the latest answers, in milliseconds; zero when
+	// there are none.
+	LatencyMS   float64 `json:"latency_ms,omitempty"`
+	Latency99MS float64 `json:"latency_p99_ms,omitempty"`
 }
