Add the operators' commands for the tables

Cause: operators drive the system only by editing the two tables and watching the measures; until now nothing wrote or showed them.

Ruled out: lowering in steps or draining first reaches the same end without pushing a region past what it carries. Only limits that an edit lowers are checked, so that an unrelated edit is not held up.

Change: validate, plan, apply, export, history, drain, undrain, watch and explain, each with text and JSON output and the exit codes of the error kinds. Package plan says what an edit changes, with the time each move of traffic takes under the shift caps. Package operate carries out the tasks.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -6,5 +6,14 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		standinCommand(),
+		validateCommand(),
+		planCommand(),
+		applyCommand(),
+		exportCommand(),
+		historyCommand(),
+		drainCommand(),
+		undrainCommand(),
+		watchCommand(),
+		explainCommand(),
 	}
 }
--- a/cmd/jacinthramp/main.go
+++ b/cmd/jacinthramp/main.go
@@ -13,19 +13,23 @@
 )
 
 func main() {
-	root := &cli.Command{
+	err := newRoot().Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "jacinthramp:", err)
+	os.Exit(exitCode(err))
+}
+
+// newRoot returns the whole command.
+func newRoot() *cli.Command {
+	return &cli.Command{
 		Name:                  "jacinthramp",
 		Usage:                 "steer traffic between regions with two tables, routes and pools",
 		EnableShellCompletion: true,
 		Commands:              commands(),
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 	}
-	err := root.Run(context.Background(), os.Args)
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, "jacinthramp:", err)
-	os.Exit(exitCode(err))
 }
 
 // exitCode returns the exit code of err's kind; an error without a kind comes
--- /dev/null
+++ b/cmd/jacinthramp/session.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/operate"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/operator"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// The forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// outputFlag chooses the form of the output.
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: outputText, Usage: "`FORM` of the output, text or json", Validator: func(v string) error {
+		if v != outputText && v != outputJSON {
+			return fmt.Errorf("%q is unknown; accepted: text, json", v)
+		}
+		return nil
+	}}
+}
+
+// platformFlags name the platform and the time to wait for it.
+func platformFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` of the platform, an IP number and port or a URL", Sources: cli.EnvVars("JACINTHRAMP_PLATFORM")},
+		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "longest `TIME` for the platform's answers"},
+	}
+}
+
+// fileFlags name the edited tables.
+func fileFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "routes", Usage: "`FILE` with the routes table; left out, the table stays as in the version edited", TakesFile: true},
+		&cli.StringFlag{Name: "pools", Usage: "`FILE` with the pools table; left out, the table stays as in the version edited", TakesFile: true},
+	}
+}
+
+// signatureFlags say who edits and why.
+func signatureFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "author", Usage: "`NAME` for the history", Value: "unknown", Sources: cli.EnvVars("JACINTHRAMP_AUTHOR", "USER")},
+		&cli.StringFlag{Name: "reason", Usage: "`TEXT` for the history"},
+	}
+}
+
+// waitFlag makes an edit wait until it is in force.
+func waitFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the edit is in force on every instance"}
+}
+
+// filesOf returns the files that the flags name.
+func filesOf(cmd *cli.Command) operate.Files {
+	return operate.Files{Routes: cmd.String("routes"), Pools: cmd.String("pools")}
+}
+
+// task is the work of one subcommand. It returns what is printed.
+type task func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error)
+
+// printable is a result that has a text form; its JSON form is its fields.
+type printable interface {
+	writeText(w io.Writer)
+}
+
+// action runs a task with a session and prints its result or its error. With
+// needsPlatform, a missing --platform is refused.
+func action(needsPlatform bool, run task) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.Args().Present() {
+			return fault.New(fault.KindBadRequest, "unexpected argument %q; see %s --help", cmd.Args().First(), cmd.Name)
+		}
+		s, end, err := newSession(cmd, needsPlatform)
+		if err != nil {
+			return err
+		}
+		defer end()
+		result, err := run(ctx, cmd, s)
+		if err != nil {
+			return printError(cmd, err)
+		}
+		return printResult(cmd, result)
+	}
+}
+
+// withTimeout bounds a task by the --timeout flag.
+func withTimeout(run task) task {
+	return func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+		ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+		defer cancel()
+		return run(ctx, cmd, s)
+	}
+}
+
+// newSession connects to the platform that the flags name.
+func newSession(cmd *cli.Command, needsPlatform bool) (*operate.Session, func(), error) {
+	base := cmd.String("platform")
+	if base == "" {
+		if needsPlatform {
+			return nil, nil, fault.New(fault.KindBadRequest, "name the platform with --platform or JACINTHRAMP_PLATFORM")
+		}
+		return &operate.Session{}, func() {}, nil
+	}
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	p := platform.NewClient(base, nil)
+	admin := operator.NewClient(nil, "http")
+	end := func() {
+		p.Close()
+		admin.Close()
+	}
+	return &operate.Session{Tables: p, Objects: p, Instances: p, Admin: admin}, end, nil
+}
+
+// printResult writes a result in the chosen form.
+func printResult(cmd *cli.Command, v printable) error {
+	w := writerOf(cmd)
+	if cmd.String("output") != outputJSON {
+		v.writeText(w)
+		return nil
+	}
+	return writeJSON(w, v)
+}
+
+// writerOf returns where results go.
+func writerOf(cmd *cli.Command) io.Writer {
+	if w := cmd.Root().Writer; w != nil {
+		return w
+	}
+	return os.Stdout
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// errorMessage is the JSON form of a failed task.
+type errorMessage struct {
+	Kind     string                    `json:"kind"`
+	Message  string                    `json:"message"`
+	Problems []table.Problem           `json:"problems,omitempty"`
+	Conflict *tablestore.ConflictError `json:"conflict,omitempty"`
+}
+
+// printError writes err as JSON when that form is chosen, and returns it.
+func printError(cmd *cli.Command, err error) error {
+	if cmd.String("output") != outputJSON {
+		return err
+	}
+	m := errorMessage{Kind: fault.KindOf(err).String(), Message: err.Error()}
+	var invalid *table.InvalidError
+	if errors.As(err, &invalid) {
+		m.Problems = invalid.Problems
+	}
+	errors.As(err, &m.Conflict)
+	if werr := writeJSON(writerOf(cmd), map[string]errorMessage{"error": m}); werr != nil {
+		return werr
+	}
+	return err
+}
+
+// marshalList writes a list, an empty one as [].
+func marshalList[T any](list []T) ([]byte, error) {
+	if list == nil {
+		list = []T{}
+	}
+	return json.Marshal(list)
+}
--- /dev/null
+++ b/cmd/jacinthramp/tables.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"slices"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/operate"
+)
+
+// categoryTables gathers the commands that edit the tables.
+const categoryTables = "tables"
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "validate",
+		Category: categoryTables,
+		Usage:    "check table files",
+		Description: "Checks form and content, and lists every problem with file, line, row and field.\n" +
+			"With one file, the other table is read from the platform.\n\nExamples:\n\n" +
+			"    jacinthramp validate --routes routes.yaml --pools pools.yaml\n" +
+			"    jacinthramp validate --pools pools.yaml --platform 10.0.0.5:7400 --output json",
+		Flags: slices.Concat(fileFlags(), platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(false, withTimeout(func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			v, err := s.Validate(ctx, filesOf(cmd))
+			return validationView{v}, err
+		})),
+	}
+}
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "plan",
+		Category: categoryTables,
+		Usage:    "say what an edit changes",
+		Description: "Compares table files with the version in force: rows, traffic that moves and how long\n" +
+			"the shift caps make that last, capacity, warnings. Changes nothing.\n\nExample:\n\n" +
+			"    jacinthramp plan --routes routes.yaml --platform 10.0.0.5:7400",
+		Flags: slices.Concat(fileFlags(), platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(true, withTimeout(func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			p, err := s.Plan(ctx, filesOf(cmd))
+			return planView{p}, err
+		})),
+	}
+}
+
+func applyCommand() *cli.Command {
+	id := &cli.StringFlag{Name: "edit-id", Usage: "`ID` of the edit; give the same id again when it is not known whether the edit was accepted"}
+	return &cli.Command{
+		Name:     "apply",
+		Category: categoryTables,
+		Usage:    "make an edit the next version",
+		Description: "The files name the version that they were edited from. When another edit was accepted\n" +
+			"since, the edit is refused with exit code 3 and both sides are shown. A limit below the\n" +
+			"requests in flight is refused. Applying the same edit id twice changes nothing.\n\nExamples:\n\n" +
+			"    jacinthramp apply --routes routes.yaml --pools pools.yaml --reason \"add route archive\" --wait 15s\n" +
+			"    jacinthramp apply --pools pools.yaml --edit-id 7f0d1c1e-0b6c-4c39-9a55-0a4d8f9b7f11",
+		Flags: slices.Concat(fileFlags(), platformFlags(), signatureFlags(), []cli.Flag{id, waitFlag(), outputFlag()}),
+		Action: action(true, func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			sig := operate.Signature{EditID: cmd.String("edit-id"), Author: cmd.String("author"), Reason: cmd.String("reason")}
+			if sig.EditID == "" {
+				sig.EditID = uuid.NewString()
+			}
+			return edited(ctx, cmd, s, func(ctx context.Context) (operate.Applied, error) {
+				return s.Apply(ctx, filesOf(cmd), sig)
+			})
+		}),
+	}
+}
+
+// edited makes an edit within --timeout and waits for it up to --wait.
+func edited(ctx context.Context, cmd *cli.Command, s *operate.Session, edit func(context.Context) (operate.Applied, error)) (printable, error) {
+	editCtx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	applied, err := edit(editCtx)
+	view := appliedView{Applied: applied}
+	if err != nil || cmd.Duration("wait") <= 0 {
+		return view, err
+	}
+	waited, err := s.AwaitInForce(ctx, applied.Head, cmd.Duration("wait"))
+	view.Waited = &waited
+	return view, err
+}
+
+func exportCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "export",
+		Category: categoryTables,
+		Usage:    "write a version as table files",
+		Description: "Writes the version in force, or an older one, to the files named, or both tables to the\n" +
+			"standard output. The files carry the version, ready to be edited and applied.\n\nExamples:\n\n" +
+			"    jacinthramp export --routes routes.yaml --pools pools.yaml\n" +
+			"    jacinthramp export --version 17 --output json",
+		Flags: slices.Concat([]cli.Flag{
+			&cli.StringFlag{Name: "routes", Usage: "`FILE` to write the routes table to", TakesFile: true},
+			&cli.StringFlag{Name: "pools", Usage: "`FILE` to write the pools table to", TakesFile: true},
+			&cli.Uint64Flag{Name: "version", Usage: "`VERSION` to write; 0 is the one in force"},
+		}, platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(true, withTimeout(func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			x, err := s.Export(ctx, cmd.Uint64("version"))
+			if err != nil {
+				return nil, err
+			}
+			return exportTo(x, filesOf(cmd))
+		})),
+	}
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "history",
+		Category: categoryTables,
+		Usage:    "list the accepted versions: who, when, what",
+		Description: "Examples:\n\n" +
+			"    jacinthramp history --latest 5 --changes\n" +
+			"    jacinthramp history --output json",
+		Flags: slices.Concat([]cli.Flag{
+			&cli.IntFlag{Name: "latest", Value: 20, Usage: "largest `NUMBER` of versions"},
+			&cli.BoolFlag{Name: "changes", Usage: "show what each version changed"},
+		}, platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(true, withTimeout(func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			entries, err := s.History(ctx, cmd.Int("latest"), cmd.Bool("changes"))
+			return historyView{entries}, err
+		})),
+	}
+}
+
+func drainCommand() *cli.Command {
+	return drainMark("drain", "give a target or a pool no new work", false)
+}
+
+func undrainCommand() *cli.Command {
+	return drainMark("undrain", "give a target or a pool work again", true)
+}
+
+// drainMark returns the command that sets or clears a drain mark.
+func drainMark(name, usage string, undrain bool) *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "target", Usage: "`NAME` of a target"},
+		&cli.StringFlag{Name: "pool", Usage: "`NAME` of a pool"},
+	}
+	if !undrain {
+		flags = append(flags, &cli.BoolFlag{Name: "allow-stranded", Usage: "accept that a route has no target left"})
+	}
+	return &cli.Command{
+		Name:     name,
+		Category: categoryTables,
+		Usage:    usage,
+		Description: "A short cut for an edit of the pools table. When another edit is accepted first, it is\n" +
+			"made again on that version.\n\nExamples:\n\n" +
+			"    jacinthramp " + name + " --target feedlog-1 --wait 15s\n" +
+			"    jacinthramp " + name + " --pool feedlog-osrednja --reason \"planned work\"",
+		Flags: slices.Concat(flags, platformFlags(), signatureFlags(), []cli.Flag{waitFlag(), outputFlag()}),
+		Action: action(true, func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			d := operate.Drain{
+				Target: cmd.String("target"), Pool: cmd.String("pool"), Undrain: undrain,
+				AllowStranded: cmd.Bool("allow-stranded"), Author: cmd.String("author"), Reason: cmd.String("reason"),
+			}
+			return edited(ctx, cmd, s, func(ctx context.Context) (operate.Applied, error) { return s.Drain(ctx, d) })
+		}),
+	}
+}
+
+// categorySee gathers the commands that look at the running system.
+const categorySee = "running system"
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "watch",
+		Category: categorySee,
+		Usage:    "show the version in force, latency, headroom and draining",
+		Description: "Asks every instance of the platform's list once a second until interrupted. With\n" +
+			"--output json, each reading is one object.\n\nExamples:\n\n" +
+			"    jacinthramp watch --platform 10.0.0.5:7400\n" +
+			"    jacinthramp watch --once --output json",
+		Flags: slices.Concat([]cli.Flag{&cli.BoolFlag{Name: "once", Usage: "read once and end"}}, platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(true, func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			err := s.Watch(ctx, cmd.Bool("once"), func(snap operate.Snapshot) error {
+				return printResult(cmd, snapshotView{snap})
+			})
+			return nothing{}, err
+		}),
+	}
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "explain",
+		Category: categorySee,
+		Usage:    "say where an instance would send a request now, and why",
+		Description: "Examples:\n\n" +
+			"    jacinthramp explain --route certdesk\n" +
+			"    jacinthramp explain --host ledger.example --path /certdesk/7 --member dol --instance osrednja-a-1",
+		Flags: slices.Concat([]cli.Flag{
+			&cli.StringFlag{Name: "instance", Usage: "`ID` of the instance to ask; left out, the first that answers"},
+			&cli.StringFlag{Name: "route", Usage: "`NAME` of a route"},
+			&cli.StringFlag{Name: "host", Usage: "`HOST` of the request"},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request"},
+			&cli.StringFlag{Name: "method", Value: "GET", Usage: "`METHOD` of the request"},
+			&cli.StringFlag{Name: "member", Usage: "`MEMBER` on whose behalf it is sent"},
+		}, platformFlags(), []cli.Flag{outputFlag()}),
+		Action: action(true, withTimeout(func(ctx context.Context, cmd *cli.Command, s *operate.Session) (printable, error) {
+			q := operate.Question{
+				Instance: cmd.String("instance"), Route: cmd.String("route"), Host: cmd.String("host"),
+				Path: cmd.String("path"), Method: cmd.String("method"), Member: cmd.String("member"),
+			}
+			if q.Route == "" && q.Path == "" {
+				return nil, fault.New(fault.KindBadRequest, "name the request with --route, or with --path and --host")
+			}
+			e, err := s.Explain(ctx, q)
+			return explanationView{e}, err
+		})),
+	}
+}
--- /dev/null
+++ b/cmd/jacinthramp/tables_text.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/operate"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// The views give the results of the tasks their text form. Their JSON form is
+// that of the embedded result.
+type (
+	validationView  struct{ operate.Validation }
+	planView        struct{ operate.Plan }
+	historyView     struct{ Versions []operate.Entry }
+	snapshotView    struct{ operate.Snapshot }
+	explanationView struct{ wire.Explanation }
+	nothing         struct{}
+)
+
+// appliedView is an edit and, with --wait, the time until it was in force.
+type appliedView struct {
+	operate.Applied
+	Waited *operate.Waited `json:"waited,omitempty"`
+}
+
+// exportView is an export; files are set when it went to files.
+type exportView struct {
+	operate.Exported
+	routes, pools []byte
+	files         operate.Files
+}
+
+func (nothing) writeText(io.Writer) {}
+
+func (v validationView) writeText(w io.Writer) {
+	fmt.Fprintf(w, "valid: %d routes, %d pools, %d targets, edited from version %d\n", v.Routes, v.Pools, v.Targets, v.Version)
+}
+
+func (v planView) writeText(w io.Writer) {
+	if v.Outdated != nil {
+		fmt.Fprintln(w, "would be refused:", v.Outdated)
+		return
+	}
+	writePlan(w, v.Plan)
+}
+
+func writePlan(w io.Writer, p operate.Plan) {
+	if p.Empty() {
+		fmt.Fprintf(w, "nothing changes of version %d\n", p.Base)
+		return
+	}
+	fmt.Fprintf(w, "changes of version %d:\n", p.Base)
+	for _, c := range p.Changes {
+		fmt.Fprintln(w, " ", c)
+	}
+	section(w, "traffic that moves:", p.Moves)
+	section(w, "capacity:", p.Capacities)
+	section(w, "warnings:", p.Warnings)
+}
+
+// section writes a title and a line for each entry, or nothing.
+func section[T any](w io.Writer, title string, entries []T) {
+	if len(entries) == 0 {
+		return
+	}
+	fmt.Fprintln(w, title)
+	for _, e := range entries {
+		fmt.Fprintln(w, " ", e)
+	}
+}
+
+func (v appliedView) writeText(w io.Writer) {
+	writePlan(w, operate.Plan{Plan: v.Plan})
+	section(w, "not asked for requests in flight:", v.Unchecked)
+	if !v.Accepted {
+		fmt.Fprintf(w, "version %d stays in force\n", v.Head.Version)
+		return
+	}
+	fmt.Fprintf(w, "accepted as version %d at %s\n", v.Head.Version, v.Head.AcceptedAt.Format(time.RFC3339Nano))
+	if v.Waited != nil {
+		fmt.Fprintf(w, "in force on every instance after %.2f s\n", v.Waited.Seconds)
+	}
+}
+
+// exportTo writes the tables to the files named.
+func exportTo(x operate.Exported, files operate.Files) (printable, error) {
+	v := exportView{Exported: x, files: files}
+	var err error
+	if v.routes, err = table.FormatRoutes(x.Tables); err != nil {
+		return nil, err
+	}
+	if v.pools, err = table.FormatPools(x.Tables); err != nil {
+		return nil, err
+	}
+	for name, data := range map[string][]byte{files.Routes: v.routes, files.Pools: v.pools} {
+		if name == "" {
+			continue
+		}
+		if err := os.WriteFile(name, data, 0o644); err != nil {
+			return nil, fault.Wrap(fault.KindBadRequest, err, "the file can't be written")
+		}
+	}
+	return v, nil
+}
+
+func (v exportView) writeText(w io.Writer) {
+	if v.files.Routes == "" && v.files.Pools == "" {
+		fmt.Fprintf(w, "# routes\n%s---\n# pools\n%s", v.routes, v.pools)
+		return
+	}
+	fmt.Fprintf(w, "version %d written\n", v.Head.Version)
+}
+
+func (v historyView) writeText(w io.Writer) {
+	for _, e := range v.Versions {
+		fmt.Fprintf(w, "version %d  %s  %s  %s\n", e.Version, e.AcceptedAt.Format(time.RFC3339), e.Author, e.Reason)
+		for _, c := range e.Changes {
+			fmt.Fprintln(w, "   ", c)
+		}
+	}
+}
+
+// MarshalJSON writes the versions as a list.
+func (v historyView) MarshalJSON() ([]byte, error) { return marshalList(v.Versions) }
+
+func (v snapshotView) writeText(w io.Writer) {
+	state := "not in force everywhere"
+	if v.InForce {
+		state = "in force everywhere"
+	}
+	if len(v.Instances) == 0 {
+		state = "no instance is listed"
+	}
+	if v.StoreError != "" {
+		state = "platform: " + v.StoreError
+	}
+	fmt.Fprintf(w, "%s  version %d, %s\n", v.At.Format(time.TimeOnly), v.Accepted, state)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "INSTANCE\tZONE\tVERSION\tSTATE\tIN FLIGHT")
+	for _, in := range v.Instances {
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%s\t%d\n", in.ID, in.Zone, in.Version, instanceState(in), in.InFlight)
+	}
+	fmt.Fprintln(tw, "\nPOOL\tREGION\tP50 MS\tP99 MS\tHEADROOM\tIN FLIGHT\tQUEUED\tSLOTS\tDRAINING")
+	for _, p := range v.Pools {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%.0f%%\t%d\t%d\t%d\t%d\n",
+			p.Pool, p.Region, msOrNone(p.LatencyMS), msOrNone(p.Latency99MS), 100*p.Headroom, p.InFlight, p.Queued, p.Slots, p.Draining)
+	}
+	tw.Flush()
+	fmt.Fprintln(w)
+}
+
+// instanceState names the state of an instance in one word or its error.
+func instanceState(in operate.InstanceState) string {
+	switch {
+	case in.Error != "":
+		return in.Error
+	case in.Rejected > 0:
+		return fmt.Sprintf("rejected version %d", in.Rejected)
+	case in.Leaving:
+		return "leaving"
+	}
+	return "serving"
+}
+
+// msOrNone writes milliseconds, or "-" when none were measured.
+func msOrNone(ms float64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", ms)
+}
+
+func (v explanationView) writeText(w io.Writer) {
+	fmt.Fprintf(w, "instance %s at version %d, route %s: %s", v.Instance, v.Version, v.Route, v.Verdict)
+	for _, part := range []struct{ name, value string }{{"pool", v.Pool}, {"target", v.Target}, {"zone", v.Zone}, {"kind", v.Kind}} {
+		if part.value != "" {
+			fmt.Fprintf(w, ", %s %s", part.name, part.value)
+		}
+	}
+	fmt.Fprintln(w)
+	for _, p := range v.Pools {
+		fmt.Fprintf(w, "  pool %s (%s), planned share %.1f%%: %s\n", p.Pool, p.Region, 100*p.Share, orEligible(p.Excluded))
+		for _, tg := range p.Targets {
+			fmt.Fprintf(w, "    target %s (%s), %d in flight of %d: %s\n", tg.Target, tg.Zone, tg.InFlight, tg.Share, orEligible(tg.Excluded))
+		}
+	}
+}
+
+func orEligible(excluded string) string {
+	if excluded == "" {
+		return "may be chosen"
+	}
+	return "excluded, " + excluded
+}
--- /dev/null
+++ b/pkg/operate/drain.go
@@ -0,0 +1,125 @@
+package operate
+
+import (
+	"context"
+	"errors"
+
+	"github.com/google/uuid"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/plan"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// Drain is a request to set or clear the drain mark of a target or a pool.
+type Drain struct {
+	// Target or Pool names the row; exactly one is set.
+	Target string
+	Pool   string
+	// Undrain clears the mark.
+	Undrain bool
+	// AllowStranded accepts a drain that leaves a route without any target.
+	AllowStranded bool
+	Author        string
+	Reason        string
+}
+
+// maxDrainEdits bounds the edits tried against versions that keep changing.
+const maxDrainEdits = 8
+
+// Drain edits the drain mark of one row. When another edit is accepted first,
+// it is tried again on that version as long as the row is still there.
+// Errors: as Apply; an InvalidError when the row does not exist or a route
+// would be left without any target.
+func (s *Session) Drain(ctx context.Context, d Drain) (Applied, error) {
+	if (d.Target == "") == (d.Pool == "") {
+		return Applied{}, fault.New(fault.KindBadRequest, "name either a target with --target or a pool with --pool")
+	}
+	var err error
+	for range maxDrainEdits {
+		var out Applied
+		out, err = s.drainOnce(ctx, d)
+		var conflict *tablestore.ConflictError
+		if !errors.As(err, &conflict) {
+			return out, err
+		}
+	}
+	return Applied{}, err
+}
+
+// drainOnce makes the edit on the version in force.
+func (s *Session) drainOnce(ctx context.Context, d Drain) (Applied, error) {
+	head, current, err := s.current(ctx)
+	if err != nil {
+		return Applied{}, err
+	}
+	next := current.Clone()
+	if err := d.mark(next); err != nil {
+		return Applied{}, err
+	}
+	out := Applied{Head: head, Plan: plan.Of(current, next, s.now())}
+	if out.Plan.Empty() {
+		return out, nil
+	}
+	if err := d.strands(current, next); err != nil {
+		return out, err
+	}
+	out.Head, err = s.accept(ctx, next, Signature{EditID: uuid.NewString(), Author: d.Author, Reason: d.reason()})
+	out.Accepted = err == nil
+	return out, err
+}
+
+// mark sets the drain mark in t.
+func (d Drain) mark(t *table.Tables) error {
+	for i := range t.Pools {
+		p := &t.Pools[i]
+		if d.Pool != "" && p.Name == d.Pool {
+			p.Drain = !d.Undrain
+			return nil
+		}
+		for j := range p.Targets {
+			if d.Target != "" && p.Targets[j].Name == d.Target {
+				p.Targets[j].Drain = !d.Undrain
+				return nil
+			}
+		}
+	}
+	return table.Invalid([]table.Problem{{Row: d.row(), Field: "name", Message: "the pools table has no such row"}})
+}
+
+// strands refuses a drain after which a route has no target left.
+func (d Drain) strands(current, next *table.Tables) error {
+	if d.AllowStranded || d.Undrain {
+		return nil
+	}
+	before := map[string]bool{}
+	for _, r := range plan.Stranded(current) {
+		before[r] = true
+	}
+	var ps []table.Problem
+	for _, r := range plan.Stranded(next) {
+		if !before[r] {
+			ps = append(ps, table.Problem{Row: d.row(), Field: "drain", Message: "route " + r + " would have no target left; add --allow-stranded to do it all the same"})
+		}
+	}
+	return table.Invalid(ps)
+}
+
+func (d Drain) row() string {
+	if d.Pool != "" {
+		return "pool " + d.Pool
+	}
+	return "target " + d.Target
+}
+
+// reason returns the stated reason, or what the edit does.
+func (d Drain) reason() string {
+	switch {
+	case d.Reason != "":
+		return d.Reason
+	case d.Undrain:
+		return "undrain " + d.row()
+	}
+	return "drain " + d.row()
+}
--- /dev/null
+++ b/pkg/operate/edit.go
@@ -0,0 +1,197 @@
+package operate
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/plan"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/shift"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// Validation is the outcome of Validate.
+type Validation struct {
+	Valid   bool   `json:"valid"`
+	Version uint64 `json:"base_version"`
+	Routes  int    `json:"routes"`
+	Pools   int    `json:"pools"`
+	Targets int    `json:"targets"`
+}
+
+// Validate checks table files. The error is a table.InvalidError.
+func (s *Session) Validate(ctx context.Context, f Files) (Validation, error) {
+	parsed, err := s.parse(ctx, f)
+	if err != nil {
+		return Validation{}, err
+	}
+	v := Validation{Valid: true, Version: parsed.Tables.Version, Routes: len(parsed.Tables.Routes), Pools: len(parsed.Tables.Pools)}
+	for _, p := range parsed.Tables.Pools {
+		v.Targets += len(p.Targets)
+	}
+	return v, nil
+}
+
+// Plan says what an edit changes of the version in force.
+type Plan struct {
+	plan.Plan
+	// Outdated is set when the edit was made against an older version, so
+	// that it would be refused.
+	Outdated *tablestore.ConflictError `json:"outdated,omitempty"`
+}
+
+// Plan reads an edit and says what it changes.
+func (s *Session) Plan(ctx context.Context, f Files) (Plan, error) {
+	parsed, err := s.parse(ctx, f)
+	if err != nil {
+		return Plan{}, err
+	}
+	p, _, err := s.plan(ctx, parsed)
+	return p, err
+}
+
+// plan compares a parsed edit with the version that it names.
+func (s *Session) plan(ctx context.Context, parsed *table.Parsed) (Plan, *table.Tables, error) {
+	head, now, err := s.current(ctx)
+	if err != nil {
+		return Plan{}, nil, err
+	}
+	if parsed.Tables.Version != head.Version {
+		return Plan{Outdated: tablestore.Conflict(ctx, s.Tables, s.Objects, parsed.Tables, head)}, now, nil
+	}
+	return Plan{Plan: plan.Of(now, parsed.Tables, s.now())}, now, nil
+}
+
+// Signature says who makes an edit and why.
+type Signature struct {
+	// EditID identifies the edit; applying it again changes nothing.
+	EditID string
+	Author string
+	Reason string
+}
+
+// Applied is the outcome of Apply.
+type Applied struct {
+	// Accepted is false when the edit changes nothing.
+	Accepted bool `json:"accepted"`
+	// Head is the accepted version, or the one in force.
+	Head tablestore.Head `json:"head"`
+	Plan plan.Plan       `json:"plan"`
+	// Unchecked lists instances whose requests in flight could not be counted.
+	Unchecked []string `json:"unchecked_instances"`
+}
+
+// Apply makes an edit the next version. Errors: table.InvalidError, also for
+// a limit below what is running; tablestore.ConflictError;
+// fault.KindStoreUnavailable; fault.KindStoreAmbiguous.
+func (s *Session) Apply(ctx context.Context, f Files, sig Signature) (Applied, error) {
+	parsed, err := s.parse(ctx, f)
+	if err != nil {
+		return Applied{}, err
+	}
+	p, current, err := s.plan(ctx, parsed)
+	if err != nil {
+		return Applied{}, err
+	}
+	if p.Outdated != nil {
+		return s.repeated(ctx, parsed.Tables, sig, p.Outdated)
+	}
+	out := Applied{Plan: p.Plan}
+	if p.Empty() {
+		out.Head, _, _, err = tablestore.ReadHead(ctx, s.Tables, "")
+		return out, err
+	}
+	problems, unchecked := s.belowRunning(ctx, current, parsed.Tables)
+	if err := table.Invalid(parsed.Locate(problems)); err != nil {
+		return out, err
+	}
+	out.Unchecked = unchecked
+	out.Head, err = s.accept(ctx, parsed.Tables, sig)
+	out.Accepted = err == nil
+	return out, err
+}
+
+// repeated tells an edit that was accepted before, with its answer lost, from
+// one that was made against an older version.
+func (s *Session) repeated(ctx context.Context, t *table.Tables, sig Signature, conflict *tablestore.ConflictError) (Applied, error) {
+	h, found, err := tablestore.ReadVersion(ctx, s.Tables, t.Version+1)
+	if err != nil {
+		return Applied{}, err
+	}
+	if found && h.EditID == sig.EditID {
+		return Applied{Accepted: true, Head: h}, nil
+	}
+	return Applied{}, conflict
+}
+
+// accept makes t the next version, with the shares in force as the start of
+// its shifts.
+func (s *Session) accept(ctx context.Context, t *table.Tables, sig Signature) (tablestore.Head, error) {
+	return tablestore.Accept(ctx, s.Tables, s.Objects, tablestore.Edit{
+		ID: sig.EditID, Author: sig.Author, Reason: sig.Reason, Tables: t,
+		Shifts: func(current *table.Tables, now time.Time) []table.Shift { return shift.Snapshot(current, now) },
+	})
+}
+
+// Exported is one version as two files.
+type Exported struct {
+	Head   tablestore.Head `json:"head"`
+	Tables *table.Tables   `json:"tables"`
+}
+
+// Export reads a version as it was edited; version zero means the one in force.
+func (s *Session) Export(ctx context.Context, version uint64) (Exported, error) {
+	if version == 0 {
+		head, t, err := s.current(ctx)
+		return Exported{Head: head, Tables: t}, err
+	}
+	t, err := tablestore.LoadVersion(ctx, s.Tables, s.Objects, version)
+	if err != nil {
+		return Exported{}, err
+	}
+	head, _, err := tablestore.ReadVersion(ctx, s.Tables, version)
+	return Exported{Head: head, Tables: t}, err
+}
+
+// Entry is one version of the history.
+type Entry struct {
+	tablestore.Head
+	// Changes are set for the versions that were asked for in full.
+	Changes []table.Change `json:"changes,omitempty"`
+}
+
+// History lists the latest versions, the newest first; with changes, each
+// with what it changed of the one before.
+func (s *Session) History(ctx context.Context, latest int, changes bool) ([]Entry, error) {
+	heads, err := tablestore.History(ctx, s.Tables)
+	if err != nil {
+		return nil, err
+	}
+	var out []Entry
+	for i := len(heads) - 1; i >= 0 && len(out) < latest; i-- {
+		e := Entry{Head: heads[i]}
+		if changes {
+			if e.Changes, err = s.changesOf(ctx, heads, i); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+// changesOf compares version i of the history with the one before.
+func (s *Session) changesOf(ctx context.Context, heads []tablestore.Head, i int) ([]table.Change, error) {
+	before := &table.Tables{}
+	var err error
+	if i > 0 {
+		if before, err = tablestore.LoadAccepted(ctx, s.Objects, heads[i-1]); err != nil {
+			return nil, err
+		}
+	}
+	after, err := tablestore.LoadAccepted(ctx, s.Objects, heads[i])
+	if err != nil {
+		return nil, err
+	}
+	return table.Diff(before, after), nil
+}
--- /dev/null
+++ b/pkg/operate/session.go
@@ -0,0 +1,130 @@
+// Package operate carries out the operators' tasks: validate, plan, apply,
+// export, history, watch, explain, drain. It wires the tables on the platform
+// and the instances' admin endpoints together; each task returns a value that
+// can be printed as text or JSON.
+package operate
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/operator"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// Session holds what the tasks talk to.
+type Session struct {
+	Tables    platform.Tables
+	Objects   platform.Objects
+	Instances platform.Instances
+	Admin     *operator.Client
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+	// Pause waits between two reads; nil means a timer that ends with ctx.
+	Pause func(ctx context.Context, d time.Duration) error
+}
+
+func (s *Session) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
+
+// pause waits d or until ctx ends.
+func (s *Session) pause(ctx context.Context, d time.Duration) error {
+	if s.Pause != nil {
+		return s.Pause(ctx, d)
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// current reads the version in force as it was edited.
+func (s *Session) current(ctx context.Context) (tablestore.Head, *table.Tables, error) {
+	head, _, _, err := tablestore.ReadHead(ctx, s.Tables, "")
+	if err != nil {
+		return head, nil, err
+	}
+	t, err := tablestore.LoadAccepted(ctx, s.Objects, head)
+	return head, t, err
+}
+
+// Files names the table files of an edit. An empty name keeps the table of
+// the version that the other file names.
+type Files struct {
+	Routes string
+	Pools  string
+}
+
+// read reads the files that are named.
+func (f Files) read() (routes, pools *table.Source, err error) {
+	if f.Routes == "" && f.Pools == "" {
+		return nil, nil, fault.New(fault.KindBadRequest, "name the edited files with --routes, --pools or both")
+	}
+	if routes, err = readFile(f.Routes); err != nil {
+		return nil, nil, err
+	}
+	pools, err = readFile(f.Pools)
+	return routes, pools, err
+}
+
+// readFile reads one file, at most the bytes that a table may have and one more.
+func readFile(name string) (*table.Source, error) {
+	if name == "" {
+		return nil, nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fault.Wrap(fault.KindBadRequest, err, "the file can't be read")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, table.MaxFileBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.KindBadRequest, err, "the file %s can't be read", name)
+	}
+	return &table.Source{Name: name, Data: data}, nil
+}
+
+// parse reads an edit. A file that is left out takes its table from the
+// version that the other file names.
+func (s *Session) parse(ctx context.Context, f Files) (*table.Parsed, error) {
+	routes, pools, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	base := &table.Tables{}
+	if routes == nil || pools == nil {
+		if base, err = s.otherTable(ctx, routes, pools); err != nil {
+			return nil, err
+		}
+	}
+	parsed, err := table.Parse(routes, pools, base)
+	if err != nil {
+		return nil, err
+	}
+	return parsed, parsed.Check()
+}
+
+// otherTable loads the version that the only file names.
+func (s *Session) otherTable(ctx context.Context, routes, pools *table.Source) (*table.Tables, error) {
+	form, err := table.Parse(routes, pools, &table.Tables{})
+	if err != nil {
+		return nil, err
+	}
+	if s.Tables == nil {
+		return nil, fault.New(fault.KindBadRequest, "one file alone is checked against the other table of its version: name both files, or the platform with --platform")
+	}
+	return tablestore.LoadVersion(ctx, s.Tables, s.Objects, form.Tables.Version)
+}
--- /dev/null
+++ b/pkg/operate/watch.go
@@ -0,0 +1,242 @@
+package operate
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/plan"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/operator"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// Snapshot is what watch shows at one time.
+type Snapshot struct {
+	At time.Time `json:"at"`
+	// Accepted is the version in the store; zero with StoreError.
+	Accepted   uint64 `json:"accepted_version"`
+	StoreError string `json:"store_error,omitempty"`
+	// InForce says that every instance of the list reports Accepted.
+	InForce   bool            `json:"in_force"`
+	Instances []InstanceState `json:"instances"`
+	Pools     []PoolState     `json:"pools"`
+}
+
+// InstanceState is one instance of the platform's list.
+type InstanceState struct {
+	ID       string `json:"id"`
+	Zone     string `json:"zone"`
+	Version  uint64 `json:"version"`
+	Rejected uint64 `json:"rejected_version,omitempty"`
+	Leaving  bool   `json:"leaving"`
+	InFlight int    `json:"in_flight"`
+	// Error is set when the instance did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+// PoolState adds up the instances of the pool's region.
+type PoolState struct {
+	Pool     string `json:"pool"`
+	Region   string `json:"region"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	// Slots are the usable slots of the tables; Headroom is what is free of
+	// them, from 0 to 1.
+	Slots    int     `json:"slots"`
+	Headroom float64 `json:"headroom"`
+	// Draining counts the targets that are leaving with work in flight, as
+	// the instance that sees the most reports it.
+	Draining int `json:"draining"`
+	// LatencyMS and Latency99MS are the largest median and 99th percentile
+	// over the instances; zero when none was measured.
+	LatencyMS   float64 `json:"latency_ms"`
+	Latency99MS float64 `json:"latency_p99_ms"`
+}
+
+// Snapshot reads the store and the instances once. When the store can't be
+// read, the instances of the given earlier list are asked.
+func (s *Session) Snapshot(ctx context.Context, earlier []platform.Instance) (Snapshot, []platform.Instance, error) {
+	snap := Snapshot{At: s.now()}
+	head, tables, err := s.current(ctx)
+	if err != nil {
+		snap.StoreError = err.Error()
+		tables = &table.Tables{}
+	}
+	list, listErr := s.Instances.ListInstances(ctx)
+	if listErr != nil {
+		list = earlier
+	}
+	if err != nil && len(list) == 0 {
+		return snap, list, err
+	}
+	snap.Accepted = head.Version
+	reports := s.Admin.StatusOfAll(ctx, list)
+	snap.Instances, snap.InForce = instanceStates(reports, head.Version)
+	snap.InForce = snap.InForce && err == nil
+	snap.Pools = poolStates(tables.WithDefaults(), reports)
+	return snap, list, nil
+}
+
+// instanceStates lists the reports, and whether there are any and all are at
+// version.
+func instanceStates(reports []operator.Report, version uint64) ([]InstanceState, bool) {
+	all := len(reports) > 0
+	var out []InstanceState
+	for _, rep := range reports {
+		in := InstanceState{ID: rep.Instance.ID, Zone: rep.Instance.Zone, Leaving: rep.Instance.Leaving}
+		if rep.Err != nil {
+			in.Error = rep.Err.Error()
+			all = false
+		} else {
+			in.Version = rep.Status.Version
+			in.Rejected = rep.Status.Rejected
+			in.Leaving = in.Leaving || rep.Status.Leaving
+			in.InFlight = rep.Status.InFlight
+			all = all && in.Version == version
+		}
+		out = append(out, in)
+	}
+	return out, all
+}
+
+// poolStates adds up the pools over the instances of their regions.
+func poolStates(t *table.Tables, reports []operator.Report) []PoolState {
+	var out []PoolState
+	for i := range t.Pools {
+		p := &t.Pools[i]
+		st := PoolState{Pool: p.Name, Region: p.Region, Slots: plan.Usable(p)}
+		for _, rep := range reports {
+			for _, ps := range rep.Status.Pools {
+				if ps.Pool == p.Name && rep.Instance.Region == p.Region {
+					st.add(ps)
+				}
+			}
+		}
+		if st.Slots > 0 {
+			st.Headroom = max(0, 1-float64(st.InFlight)/float64(st.Slots))
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// add takes in one instance's view.
+func (st *PoolState) add(ps wire.PoolStatus) {
+	st.InFlight += ps.InFlight
+	st.Queued += ps.Queued
+	st.Draining = max(st.Draining, ps.Draining)
+	st.LatencyMS = max(st.LatencyMS, ps.LatencyMS)
+	st.Latency99MS = max(st.Latency99MS, ps.Latency99MS)
+}
+
+// watchInterval is the pause between two reads of watch and of a wait.
+const watchInterval = time.Second
+
+// Watch calls show with a new snapshot every second until ctx ends, or once.
+func (s *Session) Watch(ctx context.Context, once bool, show func(Snapshot) error) error {
+	var list []platform.Instance
+	for {
+		snap, seen, err := s.Snapshot(ctx, list)
+		if err != nil && once {
+			return err
+		}
+		list = seen
+		if err := show(snap); err != nil || once {
+			return err
+		}
+		if s.pause(ctx, watchInterval) != nil {
+			return nil
+		}
+	}
+}
+
+// Waited is the outcome of AwaitInForce.
+type Waited struct {
+	Version uint64 `json:"version"`
+	// Seconds is from the answer of the acceptance to the read that found the
+	// version on every instance.
+	Seconds float64 `json:"in_force_seconds"`
+}
+
+// awaitInterval is the pause between two reads of a wait.
+const awaitInterval = 100 * time.Millisecond
+
+// AwaitInForce waits until every instance of the list reports the version of
+// head or a higher one. Error: fault.KindPeerUnavailable naming the instances
+// that do not.
+func (s *Session) AwaitInForce(ctx context.Context, head tablestore.Head, limit time.Duration) (Waited, error) {
+	start := s.now()
+	for {
+		behind, err := s.behind(ctx, head.Version)
+		if err == nil && len(behind) == 0 {
+			return Waited{Version: head.Version, Seconds: s.now().Sub(start).Seconds()}, nil
+		}
+		if s.now().Sub(start) >= limit || s.pause(ctx, awaitInterval) != nil {
+			if err != nil {
+				return Waited{}, err
+			}
+			return Waited{}, fault.New(fault.KindPeerUnavailable, "version %d was accepted, but is not in force yet on %v", head.Version, behind)
+		}
+	}
+}
+
+// behind lists the instances that are below version or did not answer.
+func (s *Session) behind(ctx context.Context, version uint64) ([]string, error) {
+	list, err := s.Instances.ListInstances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(list) == 0 {
+		return []string{"any instance: the platform lists none"}, nil
+	}
+	var out []string
+	for _, rep := range s.Admin.StatusOfAll(ctx, list) {
+		if rep.Err != nil || rep.Status.Version < version {
+			out = append(out, rep.Instance.ID)
+		}
+	}
+	return out, nil
+}
+
+// Question names a request to explain.
+type Question struct {
+	// Instance is the id to ask; empty means the first that answers.
+	Instance string
+	Route    string
+	Host     string
+	Path     string
+	Method   string
+	Member   string
+}
+
+// Explain asks an instance where it would send a request and why.
+func (s *Session) Explain(ctx context.Context, q Question) (wire.Explanation, error) {
+	list, err := s.Instances.ListInstances(ctx)
+	if err != nil {
+		return wire.Explanation{}, err
+	}
+	values := url.Values{}
+	for key, value := range map[string]string{
+		wire.QueryRoute: q.Route, wire.QueryHost: q.Host, wire.QueryPath: q.Path, wire.QueryMethod: q.Method, wire.QueryMember: q.Member,
+	} {
+		if value != "" {
+			values.Set(key, value)
+		}
+	}
+	err = fault.New(fault.KindPeerUnavailable, "the platform's list has no such instance")
+	for _, in := range list {
+		if q.Instance != "" && in.ID != q.Instance {
+			continue
+		}
+		var e wire.Explanation
+		e, err = s.Admin.Explain(ctx, in.AdminAddress, values)
+		if fault.KindOf(err) != fault.KindPeerUnavailable {
+			return e, err
+		}
+	}
+	return wire.Explanation{}, err
+}
--- a/pkg/table/problem.go
+++ b/pkg/table/problem.go
@@ -77,3 +77,12 @@
 	}
 	return out
 }
+
+// NewProblem returns a problem of a field of row i of a table, "routes",
+// "pools" or "regions".
+func NewProblem(tableName string, i int, row, field, format string, args ...any) Problem {
+	return Problem{
+		Row: row, Field: field, Message: fmt.Sprintf(format, args...),
+		path: fmt.Sprintf("%s[%d].%s", tableName, i, field),
+	}
+}
--- a/pkg/tablestore/accept.go
+++ b/pkg/tablestore/accept.go
@@ -190,22 +190,7 @@
 			return h, nil
 		}
 	}
-	return Head{}, a.conflict(ctx, current)
-}
-
-// conflict builds the error with both sides. A side that can't be read is
-// left empty: the refusal stands without it.
-func (a *acceptor) conflict(ctx context.Context, current Head) error {
-	base := a.edit.Tables.Version
-	var yours, theirs []table.Change
-	old, err := LoadVersion(ctx, a.tables, a.objects, base)
-	if err == nil {
-		yours = table.Diff(old, a.edit.Tables)
-		if now, err := LoadAccepted(ctx, a.objects, current); err == nil {
-			theirs = table.Diff(old, now)
-		}
-	}
-	return newConflict(base, current, yours, theirs)
+	return Head{}, Conflict(ctx, a.tables, a.objects, a.edit.Tables, current)
 }
 
 // LoadVersion reads the content of one version as it was edited. Version zero
--- a/pkg/tablestore/conflict.go
+++ b/pkg/tablestore/conflict.go
@@ -1,10 +1,12 @@
 package tablestore
 
 import (
+	"context"
 	"fmt"
 	"strings"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
@@ -22,6 +24,21 @@
 	kind   error
 }
 
+// Conflict returns the conflict of an edit whose base is not the current
+// version. A side that can't be read is left empty: the refusal stands
+// without it.
+func Conflict(ctx context.Context, t platform.Tables, o platform.Objects, edit *table.Tables, current Head) *ConflictError {
+	var yours, theirs []table.Change
+	old, err := LoadVersion(ctx, t, o, edit.Version)
+	if err == nil {
+		yours = table.Diff(old, edit)
+		if now, err := LoadAccepted(ctx, o, current); err == nil {
+			theirs = table.Diff(old, now)
+		}
+	}
+	return newConflict(edit.Version, current, yours, theirs)
+}
+
 // newConflict returns the conflict of an edit.
 func newConflict(base uint64, current Head, yours, theirs []table.Change) *ConflictError {
 	return &ConflictError{
