Stand in for targets, and agree with callers on answers that can be checked

Cause: whether a caller got the whole answer to its own request, and whether a request ran twice, must be counted outside the system under test.

Weighed: echoing the request's body against deriving the answer from a nonce. The derived answer needs no memory for large bodies, and a byte of another answer, a missing or a doubled byte all differ from it. A run is counted when a request gets its slot, not when it arrives, so that shed and queued requests are no runs. The counts live outside a target's life, since crashes must not lose them.

--- a/cmd/jacinthramp/standin.go
+++ b/cmd/jacinthramp/standin.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/target"
 )
 
 // configFlag names the settings file of a stand-in.
@@ -24,6 +25,7 @@
 		Usage: "run a stand-in for the platform or for targets, for trials on loopback",
 		Commands: []*cli.Command{
 			standinPlatformCommand(),
+			standinTargetCommand(),
 		},
 	}
 }
@@ -49,6 +51,27 @@
 	}
 }
 
+// standinTargetCommand runs stand-ins for targets.
+func standinTargetCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "target",
+		Usage:       "targets with slots, cold starts, shedding, draining and faults",
+		Description: "Example:\n\n    jacinthramp standin target --config examples/target-1.yaml",
+		Flags:       []cli.Flag{configFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := target.LoadSettings(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			return target.Run(ctx, settings, func() {
+				fmt.Fprintf(os.Stderr, "%d target stand-ins listen, controls on %s\n", len(settings.Targets), settings.Control)
+			})
+		},
+	}
+}
+
 // untilSignal returns a context that ends with SIGINT or SIGTERM.
 func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/pkg/standin/exchange/exchange.go
@@ -0,0 +1,208 @@
+// Package exchange is the agreement between test callers and target
+// stand-ins: each request carries a nonce, and its answer is made from the
+// nonce and from what the target received, so that the caller can tell
+// whether it got the whole answer to its own request.
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Header fields of requests and answers.
+const (
+	// HeaderNonce identifies the request; resubmissions carry the same one.
+	HeaderNonce = "Standin-Nonce"
+	// HeaderOnce is "true" on a request that must not run twice.
+	HeaderOnce = "Standin-Once"
+	// HeaderAnswerBytes asks for an answer with that many bytes of filler.
+	HeaderAnswerBytes = "Standin-Answer-Bytes"
+	// HeaderCrash is "true" on a request that crashes the target that runs it.
+	HeaderCrash = "Standin-Crash"
+)
+
+const (
+	requestSalt = "request:"
+	answerSalt  = "answer:"
+)
+
+// chunkBytes is how much of an answer is compared at a time.
+const chunkBytes = 32 << 10
+
+// Sent is what the caller remembers of a request.
+type Sent struct {
+	Nonce       string
+	Method      string
+	Path        string
+	BodyBytes   int64
+	AnswerBytes int64
+	// Once marks a request that must not run twice.
+	Once bool
+}
+
+// Received is the first line of an answer: what the target received.
+type Received struct {
+	Nonce       string `json:"nonce"`
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	BodyBytes   int64  `json:"body_bytes"`
+	BodySum     string `json:"body_sum"`
+	AnswerBytes int64  `json:"answer_bytes"`
+	Target      string `json:"target"`
+}
+
+// SetHeader writes the fields of s into h.
+func (s Sent) SetHeader(h http.Header) {
+	h.Set(HeaderNonce, s.Nonce)
+	h.Set(HeaderAnswerBytes, strconv.FormatInt(s.AnswerBytes, 10))
+	if s.Once {
+		h.Set(HeaderOnce, "true")
+	}
+}
+
+// Body returns the request's body.
+func (s Sent) Body() io.Reader { return filler(requestSalt+s.Nonce, s.BodyBytes) }
+
+// filler returns n bytes that follow from seed.
+func filler(seed string, n int64) io.Reader {
+	return io.LimitReader(rand.NewChaCha8(sha256.Sum256([]byte(seed))), n)
+}
+
+// Receive reads the whole body of r and returns what was received.
+func Receive(r *http.Request) (Received, error) {
+	sum := xxhash.New()
+	n, err := io.Copy(sum, r.Body)
+	if err != nil {
+		return Received{}, fmt.Errorf("reading the request's body: %w", err)
+	}
+	answerBytes, err := strconv.ParseInt("0"+r.Header.Get(HeaderAnswerBytes), 10, 64)
+	if err != nil {
+		return Received{}, fmt.Errorf("header %s: %w", HeaderAnswerBytes, err)
+	}
+	return Received{
+		Nonce: r.Header.Get(HeaderNonce), Method: r.Method, Path: r.URL.Path,
+		BodyBytes: n, BodySum: hex(sum.Sum64()), AnswerBytes: answerBytes,
+	}, nil
+}
+
+// Answer writes the answer to what was received.
+func Answer(w http.ResponseWriter, rec Received) error {
+	line, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	line = append(line, '\n')
+	w.Header().Set(HeaderNonce, rec.Nonce)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(int64(len(line))+rec.AnswerBytes, 10))
+	if rec.Method == http.MethodHead {
+		return nil
+	}
+	if _, err := w.Write(line); err != nil {
+		return err
+	}
+	_, err = io.Copy(w, filler(answerSalt+rec.Nonce, rec.AnswerBytes))
+	return err
+}
+
+// WrongAnswerError reports an answer that is not the whole answer to the request.
+type WrongAnswerError struct{ Reason string }
+
+// Error returns the reason.
+func (e *WrongAnswerError) Error() string { return "wrong answer: " + e.Reason }
+
+func wrong(format string, args ...any) error {
+	return &WrongAnswerError{Reason: fmt.Sprintf(format, args...)}
+}
+
+// IsWrong reports whether err says that an answer was wrong, rather than that
+// it could not be read.
+func IsWrong(err error) bool {
+	var w *WrongAnswerError
+	return errors.As(err, &w)
+}
+
+// Check reads the whole of resp and compares it with the answer that s must
+// get. A WrongAnswerError means that the answer ended normally and differs;
+// any other error means that it broke off.
+func Check(s Sent, resp *http.Response) error {
+	if got := resp.Header.Get(HeaderNonce); got != s.Nonce {
+		return wrong("header nonce %q, not %q", got, s.Nonce)
+	}
+	if s.Method == http.MethodHead {
+		return nil
+	}
+	body := bufio.NewReaderSize(resp.Body, chunkBytes)
+	line, err := body.ReadBytes('\n')
+	if errors.Is(err, io.EOF) {
+		return wrong("it ends within its first line")
+	}
+	if err != nil {
+		return err
+	}
+	if err := s.checkReceived(line); err != nil {
+		return err
+	}
+	return s.checkFiller(body)
+}
+
+// checkReceived compares what the target received with what was sent.
+func (s Sent) checkReceived(line []byte) error {
+	var rec Received
+	if err := json.Unmarshal(line, &rec); err != nil {
+		return wrong("its first line is not valid JSON")
+	}
+	want := Received{
+		Nonce: s.Nonce, Method: s.Method, Path: s.Path,
+		BodyBytes: s.BodyBytes, BodySum: s.bodySum(), AnswerBytes: s.AnswerBytes, Target: rec.Target,
+	}
+	if rec != want {
+		return wrong("target received %+v, not %+v", rec, want)
+	}
+	return nil
+}
+
+// bodySum is the checksum of the request's body.
+func (s Sent) bodySum() string {
+	sum := xxhash.New()
+	_, _ = io.Copy(sum, s.Body())
+	return hex(sum.Sum64())
+}
+
+// checkFiller compares the rest of the answer with the expected bytes.
+func (s Sent) checkFiller(body io.Reader) error {
+	expected := filler(answerSalt+s.Nonce, s.AnswerBytes)
+	got := make([]byte, chunkBytes)
+	want := make([]byte, chunkBytes)
+	var total int64
+	for {
+		n, err := body.Read(got)
+		m, _ := io.ReadFull(expected, want[:n])
+		if m < n || !bytes.Equal(got[:n], want[:m]) {
+			return wrong("byte %d to %d of the filler differ", total, total+int64(n))
+		}
+		total += int64(n)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if total != s.AnswerBytes {
+		return wrong("%d bytes of filler, not %d", total, s.AnswerBytes)
+	}
+	return nil
+}
+
+func hex(v uint64) string { return strconv.FormatUint(v, 16) }
--- /dev/null
+++ b/pkg/standin/exchange/exchange_test.go
@@ -0,0 +1,89 @@
+package exchange
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// respond returns the right answer to s, and its body.
+func respond(t *testing.T, s Sent) *http.Response {
+	t.Helper()
+	req := httptest.NewRequestWithContext(t.Context(), s.Method, s.Path, s.Body())
+	s.SetHeader(req.Header)
+	rec, err := Receive(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	if err := Answer(w, rec); err != nil {
+		t.Fatal(err)
+	}
+	return w.Result()
+}
+
+func sent(nonce string) Sent {
+	return Sent{Nonce: nonce, Method: http.MethodPost, Path: "/p", BodyBytes: 300, AnswerBytes: 100_000}
+}
+
+func TestRightAnswerPasses(t *testing.T) {
+	if err := Check(sent("a"), respond(t, sent("a"))); err != nil {
+		t.Fatal(err)
+	}
+	head := Sent{Nonce: "h", Method: http.MethodHead, Path: "/p", AnswerBytes: 10}
+	if err := Check(head, respond(t, head)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestWrongAnswersAreCaught(t *testing.T) {
+	edits := map[string]func(body []byte) []byte{
+		"nothing":          func([]byte) []byte { return nil },
+		"cut short":        func(b []byte) []byte { return b[:len(b)-1] },
+		"one byte more":    func(b []byte) []byte { return append(b, 0) },
+		"one byte differs": func(b []byte) []byte { b[len(b)/2] ^= 1; return b },
+		"twice":            func(b []byte) []byte { return append(b, b...) },
+		"bytes swapped":    func(b []byte) []byte { n := len(b); b[n-1], b[n-9] = b[n-9]^1, b[n-1]; return b },
+	}
+	for name, edit := range edits {
+		resp := respond(t, sent("a"))
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body = io.NopCloser(bytes.NewReader(edit(body)))
+		if err := Check(sent("a"), resp); !IsWrong(err) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestAnswersToOtherRequestsAreCaught(t *testing.T) {
+	other := respond(t, sent("b"))
+	if err := Check(sent("a"), other); !IsWrong(err) {
+		t.Errorf("another nonce: %v", err)
+	}
+	other = respond(t, sent("b"))
+	other.Header.Set(HeaderNonce, "a")
+	if err := Check(sent("a"), other); !IsWrong(err) {
+		t.Errorf("another body under the right header: %v", err)
+	}
+	shorter := sent("a")
+	shorter.BodyBytes = 299
+	if err := Check(sent("a"), respond(t, shorter)); !IsWrong(err) {
+		t.Errorf("a request body cut short: %v", err)
+	}
+}
+
+func TestBrokenConnectionIsNotAWrongAnswer(t *testing.T) {
+	resp := respond(t, sent("a"))
+	broken := errors.New("reset")
+	resp.Body = io.NopCloser(io.MultiReader(io.LimitReader(resp.Body, 5000), readerFunc(func([]byte) (int, error) { return 0, broken })))
+	if err := Check(sent("a"), resp); !errors.Is(err, broken) || IsWrong(err) {
+		t.Fatal(err)
+	}
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
--- /dev/null
+++ b/pkg/standin/target/conns.go
@@ -0,0 +1,90 @@
+package target
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// connSet holds the open connections of one life of a target.
+type connSet struct {
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+func newConnSet() *connSet { return &connSet{open: map[*conn]struct{}{}} }
+
+// wrap returns a listener whose connections are kept in the set.
+func (s *connSet) wrap(ln net.Listener) net.Listener { return &listener{Listener: ln, set: s} }
+
+// silence makes every open connection silent.
+func (s *connSet) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.silent.Store(true)
+	}
+}
+
+// abort resets every open connection.
+func (s *connSet) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+type listener struct {
+	net.Listener
+	set *connSet
+}
+
+// Accept returns the next connection, kept in the set until it is closed.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, set: l.set}
+	l.set.mu.Lock()
+	l.set.open[c] = struct{}{}
+	l.set.mu.Unlock()
+	return c, nil
+}
+
+// conn is a connection that can go silent.
+type conn struct {
+	net.Conn
+	set    *connSet
+	silent atomic.Bool
+}
+
+// Read returns what arrives; on a silent connection it swallows it.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write sends b; on a silent connection it drops it.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection and takes it out of the set.
+func (c *conn) Close() error {
+	c.set.mu.Lock()
+	delete(c.set.open, c)
+	c.set.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/pkg/standin/target/control.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/standin"
+)
+
+// Paths of the controls.
+const (
+	// PathTargets answers the counters of every target.
+	PathTargets = "/control/targets"
+	// PathRuns answers the counted runs.
+	PathRuns = "/control/runs"
+	// PathFaults answers the faults of one target on GET; PUT replaces the
+	// named ones and leaves the others as they are.
+	PathFaults = "/control/targets/:name/faults"
+	// PathDrain, PathCrash, PathSilence and PathStart act on one target on POST.
+	PathDrain   = "/control/targets/:name/drain"
+	PathCrash   = "/control/targets/:name/crash"
+	PathSilence = "/control/targets/:name/silence"
+	PathStart   = "/control/targets/:name/start"
+)
+
+// Controls serves the controls of g.
+func Controls(g *Group) http.Handler {
+	c := controls{g}
+	r := httprouter.New()
+	r.GET(PathTargets, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		standin.WriteJSON(w, http.StatusOK, g.Stats())
+	})
+	r.GET(PathRuns, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		standin.WriteJSON(w, http.StatusOK, g.Runs())
+	})
+	r.GET(PathFaults, c.on(c.getFaults))
+	r.PUT(PathFaults, c.on(c.putFaults))
+	r.POST(PathDrain, c.on(c.drain))
+	r.POST(PathCrash, c.on(c.crash))
+	r.POST(PathSilence, c.on(c.silence))
+	r.POST(PathStart, c.on(c.start))
+	return r
+}
+
+type controls struct{ group *Group }
+
+// on finds the target that the path names.
+func (c controls) on(do func(http.ResponseWriter, *http.Request, *Target)) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		t := c.group.Target(p.ByName("name"))
+		if t == nil {
+			http.Error(w, "no such target", http.StatusNotFound)
+			return
+		}
+		do(w, r, t)
+	}
+}
+
+func (controls) getFaults(w http.ResponseWriter, _ *http.Request, t *Target) {
+	standin.WriteJSON(w, http.StatusOK, t.Faults())
+}
+
+func (controls) putFaults(w http.ResponseWriter, r *http.Request, t *Target) {
+	f := t.Faults()
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.SetFaults(f)
+	standin.WriteJSON(w, http.StatusOK, f)
+}
+
+// drain begins a drain and answers at once.
+func (c controls) drain(w http.ResponseWriter, r *http.Request, t *Target) {
+	t.Leave()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), DrainTimeout)
+	c.group.background.Go(func() {
+		defer cancel()
+		_ = t.Drain(ctx)
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (controls) crash(w http.ResponseWriter, _ *http.Request, t *Target) {
+	t.Crash()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (controls) silence(w http.ResponseWriter, _ *http.Request, t *Target) {
+	t.Silence()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (controls) start(w http.ResponseWriter, _ *http.Request, t *Target) {
+	if _, err := t.Start(); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/pkg/standin/target/control_test.go
@@ -0,0 +1,92 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+func TestControlsActOnTheNamedTarget(t *testing.T) {
+	g := NewGroup([]Config{{Name: "a", Address: "127.0.0.1:0"}, {Name: "b", Address: "127.0.0.1:0"}})
+	if err := g.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	h := Controls(g)
+	call := func(method, path, body string) int {
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body)))
+		return rec.Code
+	}
+	steps := []struct {
+		method, path, body string
+		want               int
+	}{
+		{"PUT", "/control/targets/a/faults", `{"shed":true,"delay":"1ms"}`, http.StatusOK},
+		{"PUT", "/control/targets/a/faults", `{"hang":true}`, http.StatusOK},
+		{"PUT", "/control/targets/a/faults", `{"hung":true}`, http.StatusBadRequest},
+		{"GET", "/control/targets/a/faults", "", http.StatusOK},
+		{"POST", "/control/targets/c/crash", "", http.StatusNotFound},
+		{"POST", "/control/targets/b/crash", "", http.StatusNoContent},
+		{"POST", "/control/targets/b/start", "", http.StatusNoContent},
+		{"POST", "/control/targets/b/start", "", http.StatusConflict},
+		{"POST", "/control/targets/b/silence", "", http.StatusNoContent},
+		{"GET", PathTargets, "", http.StatusOK},
+		{"GET", PathRuns, "", http.StatusOK},
+	}
+	for _, s := range steps {
+		if got := call(s.method, s.path, s.body); got != s.want {
+			t.Errorf("%s %s: %d, want %d", s.method, s.path, got, s.want)
+		}
+	}
+	if f := g.Target("a").Faults(); !f.Shed || !f.Hang || f.Delay == 0 {
+		t.Errorf("faults of a: %+v", f)
+	}
+	if g.Target("b").Faults() != (Faults{}) || g.Target("b").Stats().Crashes != 1 {
+		t.Errorf("stats of b: %+v", g.Target("b").Stats())
+	}
+}
+
+func TestProcessStopsByDraining(t *testing.T) {
+	s := Settings{Control: "127.0.0.1:0", Targets: []Config{{Name: "a", Address: "127.0.0.1:0", DrainGrace: 1}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	if err := Run(ctx, s, cancel); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSettingsAreStrict(t *testing.T) {
+	load := func(text string) error {
+		path := filepath.Join(t.TempDir(), "target.yaml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadSettings(path)
+		return err
+	}
+	for _, bad := range []string{
+		"targets: []\n",
+		"targets:\n  - name: a\n",
+		"targets:\n  - {name: a, address: '192.0.2.1:1'}\n",
+		"targets:\n  - {name: a, address: '127.0.0.1:1', solts: 3}\n",
+		"targets:\n  - {name: a, address: '127.0.0.1:1', slots: -1}\n",
+		"targets:\n  - {name: a, address: '127.0.0.1:1', cold_factor: 0.5}\n",
+		"targets:\n  - {name: a, address: '127.0.0.1:1', service_time: 5ms, service_time_p99: 1ms}\n",
+		"targets:\n  - {name: a, address: '127.0.0.1:1'}\n  - {name: a, address: '127.0.0.1:2'}\n",
+	} {
+		if err := load(bad); fault.KindOf(err) != fault.KindInvalidSettings {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	for _, example := range []string{"target-1.yaml", "target-2.yaml"} {
+		if _, err := LoadSettings(filepath.Join("../../../examples", example)); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/target/service.go
@@ -0,0 +1,46 @@
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// zP99 is the standard normal distribution's 99th percentile.
+const zP99 = 2.3263478740408408
+
+// serviceTimes draws log-normal service times that fall as the target warms.
+type serviceTimes struct {
+	median float64
+	sigma  float64
+	cold   float64
+	warm   int
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	served int
+}
+
+func newServiceTimes(c Config) *serviceTimes {
+	s := &serviceTimes{
+		median: float64(c.ServiceTime),
+		cold:   c.ColdFactor,
+		warm:   c.WarmRequests,
+		rand:   rand.New(rand.NewPCG(c.Seed, c.Seed)),
+	}
+	if c.ServiceTimeP99 > c.ServiceTime && c.ServiceTime > 0 {
+		s.sigma = math.Log(float64(c.ServiceTimeP99)/float64(c.ServiceTime)) / zP99
+	}
+	return s
+}
+
+// next returns the service time of the next request.
+func (s *serviceTimes) next() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	coldness := max(0, 1-float64(s.served)/float64(s.warm))
+	s.served++
+	factor := 1 + (s.cold-1)*coldness
+	return time.Duration(s.median * factor * math.Exp(s.sigma*s.rand.NormFloat64()))
+}
--- /dev/null
+++ b/pkg/standin/target/target.go
@@ -0,0 +1,244 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/standin/exchange"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// Target is one target stand-in. It may be used from several goroutines at once.
+type Target struct {
+	config   Config
+	recorder *Recorder
+	wg       conc.WaitGroup
+
+	mu          sync.Mutex
+	faults      Faults
+	stats       Stats
+	incarnation string
+	life        *life
+	report      cachedReport
+	leavingAt   time.Time
+	closed      bool
+}
+
+// Stats counts what a target did, over all its lives.
+type Stats struct {
+	Name string `json:"name"`
+	// Running and Queued are the requests present now.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Runs counts the requests that began to run, Completed those whose whole
+	// answer was written.
+	Runs      int `json:"runs"`
+	Completed int `json:"completed"`
+	// Shed counts refusals without a run, Cancelled the runs whose caller left.
+	Shed      int `json:"shed"`
+	Cancelled int `json:"cancelled"`
+	// Crashes counts the crashes; CutOff the runs that a crash ended.
+	Crashes int `json:"crashes"`
+	CutOff  int `json:"cut_off"`
+	// Peak is the most requests present at once, queued ones included.
+	Peak int `json:"peak"`
+	// Leaving is set from the first sign of leaving.
+	Leaving bool `json:"leaving"`
+	// RunsAfterSign counts the runs begun after the first sign of leaving.
+	RunsAfterSign int `json:"runs_after_sign"`
+	// LastRunAfterSignMS is from the sign to the last begun run after it, and
+	// IdleAfterSignMS from the sign to the end of the last run, both in milliseconds.
+	LastRunAfterSignMS int64 `json:"last_run_after_sign_ms"`
+	IdleAfterSignMS    int64 `json:"idle_after_sign_ms"`
+}
+
+// New returns a target that does not listen yet.
+func New(c Config, rec *Recorder) *Target {
+	c = c.withDefaults()
+	return &Target{config: c, recorder: rec, faults: c.Faults, stats: Stats{Name: c.Name}}
+}
+
+// Faults returns the faults that are switched on.
+func (t *Target) Faults() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// SetFaults replaces the faults.
+func (t *Target) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Stats returns the counters.
+func (t *Target) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// newIncarnation returns a name for one life of a target.
+func newIncarnation() string { return uuid.NewString() }
+
+// serve answers one request of the life l.
+func (t *Target) serve(l *life, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderTarget, t.config.Name)
+	if t.showsLeaving() {
+		w.Header().Set(wire.HeaderTargetLeaving, "true")
+	}
+	ctx, cancel := requestContext(r)
+	defer cancel()
+	rec, err := exchange.Receive(r)
+	if err != nil {
+		t.shed(w, http.StatusBadRequest)
+		return
+	}
+	rec.Target = t.config.Name
+	if !t.admit(ctx, l) {
+		t.shed(w, http.StatusServiceUnavailable)
+		return
+	}
+	t.recorder.add(rec.Nonce, r.Header.Get(exchange.HeaderOnce) == "true")
+	defer t.leave(l)
+	if r.Header.Get(exchange.HeaderCrash) == "true" {
+		t.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	t.run(ctx, l, w, r, rec)
+}
+
+// requestContext ends with the request or at its deadline.
+func requestContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(wire.HeaderDeadlineMS), 10, 64)
+	if err != nil || ms < 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// shed refuses a request that has not run.
+func (t *Target) shed(w http.ResponseWriter, status int) {
+	t.mu.Lock()
+	t.stats.Shed++
+	t.mu.Unlock()
+	w.Header().Set(wire.HeaderTargetShed, "true")
+	w.WriteHeader(status)
+}
+
+// admit waits in the queue for a slot. It reports false when the request has
+// to be shed: the queue is full, the caller left, or the grace has run out.
+func (t *Target) admit(ctx context.Context, l *life) bool {
+	if !t.enqueue() {
+		return false
+	}
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		select {
+		case l.slots <- struct{}{}:
+		case <-ctx.Done():
+			t.dequeue()
+			return false
+		case <-l.crashed:
+			t.dequeue()
+			return false
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Queued--
+	t.stats.Running++
+	t.stats.Runs++
+	if t.stats.Leaving {
+		t.stats.RunsAfterSign++
+		t.stats.LastRunAfterSignMS = time.Since(t.leavingAt).Milliseconds()
+	}
+	return true
+}
+
+// enqueue counts a request in, or reports that there is no room for it.
+func (t *Target) enqueue() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := t.stats.Running + t.stats.Queued
+	late := t.stats.Leaving && time.Since(t.leavingAt) > t.config.DrainGrace.Std()
+	if t.faults.Shed || late || present >= t.config.Slots+t.config.Queue {
+		return false
+	}
+	t.stats.Queued++
+	t.stats.Peak = max(t.stats.Peak, present+1)
+	return true
+}
+
+func (t *Target) dequeue() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Queued--
+}
+
+// leave gives the slot back.
+func (t *Target) leave(l *life) {
+	<-l.slots
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Running--
+	if t.stats.Leaving {
+		t.stats.IdleAfterSignMS = time.Since(t.leavingAt).Milliseconds()
+	}
+}
+
+// run takes the service time and answers.
+func (t *Target) run(ctx context.Context, l *life, w http.ResponseWriter, r *http.Request, rec exchange.Received) {
+	f := t.Faults()
+	if f.IgnoreCancel {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if !t.work(ctx, l, f) {
+		t.count(func(s *Stats) { s.Cancelled++ })
+		w.Header().Set(exchange.HeaderNonce, rec.Nonce)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if f.Garbage != GarbageNone {
+		writeGarbage(w, f.Garbage, rec)
+		return
+	}
+	if err := exchange.Answer(w, rec); err == nil && r.Context().Err() == nil {
+		t.count(func(s *Stats) { s.Completed++ })
+	}
+}
+
+// work spends the service time. It reports false when ctx ended first, and
+// aborts the connection when the target crashed.
+func (t *Target) work(ctx context.Context, l *life, f Faults) bool {
+	timer := time.NewTimer(l.times.next() + f.Delay.Std())
+	defer timer.Stop()
+	done := timer.C
+	if f.Hang {
+		done = nil
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.crashed:
+		t.count(func(s *Stats) { s.CutOff++ })
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// count edits the counters.
+func (t *Target) count(edit func(*Stats)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	edit(&t.stats)
+}
--- /dev/null
+++ b/pkg/standin/target/target_test.go
@@ -0,0 +1,271 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/standin/exchange"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// bench is one running target and a client of it.
+type bench struct {
+	t      *testing.T
+	target *Target
+	rec    *Recorder
+	url    string
+	client *http.Client
+	nonces int
+}
+
+func newBench(t *testing.T, c Config) *bench {
+	t.Helper()
+	c.Name, c.Address = "t", "127.0.0.1:0"
+	rec := NewRecorder()
+	tg := New(c, rec)
+	addr, err := tg.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		tg.Close()
+	})
+	return &bench{t: t, target: tg, rec: rec, url: "http://" + addr, client: client}
+}
+
+// sent describes the next request.
+func (b *bench) sent() exchange.Sent {
+	b.nonces++
+	return exchange.Sent{
+		Nonce: "n" + strconv.Itoa(b.nonces), Method: http.MethodPost, Path: "/x",
+		BodyBytes: 1000, AnswerBytes: 70_000, Once: true,
+	}
+}
+
+// ask sends s and checks the answer; edit may change the request.
+func (b *bench) ask(ctx context.Context, s exchange.Sent, edit func(*http.Request)) (int, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, s.Method, b.url+s.Path, s.Body())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	s.SetHeader(req.Header)
+	if edit != nil {
+		edit(req)
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, resp.Header, nil
+	}
+	return resp.StatusCode, resp.Header, exchange.Check(s, resp)
+}
+
+func (b *bench) mustAnswer() {
+	b.t.Helper()
+	if status, _, err := b.ask(b.t.Context(), b.sent(), nil); status != http.StatusOK || err != nil {
+		b.t.Fatalf("answer %d, %v", status, err)
+	}
+}
+
+// eventually polls until ok.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func TestRightAnswersAndRunsAreCounted(t *testing.T) {
+	b := newBench(t, Config{})
+	s := b.sent()
+	for range 2 {
+		if _, _, err := b.ask(t.Context(), s, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.mustAnswer()
+	runs := b.rec.Runs()
+	if runs.Total != 3 || runs.Once[s.Nonce] != 2 || runs.Duplicates() != 1 {
+		t.Fatalf("runs: %+v", runs)
+	}
+}
+
+func TestFullQueueSheds(t *testing.T) {
+	b := newBench(t, Config{Slots: 1, Queue: 1, Faults: Faults{Hang: true}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	for range 2 {
+		s := b.sent()
+		wg.Go(func() { _, _, _ = b.ask(ctx, s, nil) })
+	}
+	eventually(t, "one runs and one waits", func() bool {
+		st := b.target.Stats()
+		return st.Running == 1 && st.Queued == 1
+	})
+	status, header, err := b.ask(t.Context(), b.sent(), nil)
+	if err != nil || status != http.StatusServiceUnavailable || header.Get(wire.HeaderTargetShed) != "true" {
+		t.Fatalf("third request: %d %v %v", status, header, err)
+	}
+	cancel()
+	wg.Wait()
+	eventually(t, "cancelled work is given up", func() bool {
+		st := b.target.Stats()
+		return st.Running == 0 && st.Queued == 0
+	})
+	if runs := b.rec.Runs(); runs.Total > 2 {
+		t.Fatalf("a shed request ran: %+v", runs)
+	}
+}
+
+func TestDeadlineEndsWork(t *testing.T) {
+	b := newBench(t, Config{Faults: Faults{Hang: true}})
+	status, _, err := b.ask(t.Context(), b.sent(), func(r *http.Request) { r.Header.Set(wire.HeaderDeadlineMS, "20") })
+	if err != nil || status != http.StatusGatewayTimeout {
+		t.Fatalf("answer %d, %v", status, err)
+	}
+}
+
+func TestColdTargetIsSlowUntilWarmed(t *testing.T) {
+	s := newServiceTimes(Config{ServiceTime: table.Duration(time.Millisecond), ServiceTimeP99: table.Duration(time.Millisecond), ColdFactor: 5, WarmRequests: 4, Seed: 1})
+	for i, want := range []time.Duration{5, 4, 3, 2, 1, 1} {
+		if got := s.next(); got != want*time.Millisecond {
+			t.Fatalf("request %d took %v, want %v ms", i, got, int(want))
+		}
+	}
+}
+
+func TestServiceTimesFollowTheSettings(t *testing.T) {
+	s := newServiceTimes(Config{ServiceTime: 1000, ServiceTimeP99: 10_000, ColdFactor: 1, WarmRequests: 1, Seed: 1})
+	var above, tail int
+	const n = 20_000
+	for range n {
+		d := s.next()
+		if d > 1000 {
+			above++
+		}
+		if d > 10_000 {
+			tail++
+		}
+	}
+	if above < n*45/100 || above > n*55/100 || tail < n*5/1000 || tail > n*15/1000 {
+		t.Fatalf("%d of %d above the median, %d above the 99th percentile", above, n, tail)
+	}
+}
+
+func TestSilentConnectionsSwallowAndNewOnesWork(t *testing.T) {
+	b := newBench(t, Config{})
+	b.mustAnswer()
+	b.target.Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, _, err := b.ask(ctx, b.sent(), nil); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	b.client.CloseIdleConnections()
+	b.mustAnswer()
+	if runs := b.rec.Runs(); runs.Total != 2 {
+		t.Fatalf("runs: %+v", runs)
+	}
+}
+
+func TestNamedRequestCrashesItsTarget(t *testing.T) {
+	b := newBench(t, Config{RestartAfter: table.Duration(10 * time.Millisecond)})
+	before := b.target.loadReport().Incarnation
+	crash := func(r *http.Request) { r.Header.Set(exchange.HeaderCrash, "true") }
+	if status, _, err := b.ask(t.Context(), b.sent(), crash); err == nil {
+		t.Fatalf("the crash answered %d", status)
+	}
+	eventually(t, "the target is back", func() bool {
+		_, _, err := b.ask(t.Context(), b.sent(), nil)
+		return err == nil
+	})
+	if st := b.target.Stats(); st.Crashes != 1 || b.target.loadReport().Incarnation == before {
+		t.Fatalf("stats: %+v", st)
+	}
+}
+
+func TestDrainShowsItsSignAndCutsNothingOff(t *testing.T) {
+	b := newBench(t, Config{ServiceTime: table.Duration(200 * time.Millisecond), DrainGrace: table.Duration(100 * time.Millisecond)})
+	var wg conc.WaitGroup
+	s := b.sent()
+	var err error
+	wg.Go(func() { _, _, err = b.ask(t.Context(), s, nil) })
+	eventually(t, "the request runs", func() bool { return b.target.Stats().Running == 1 })
+	b.target.Leave()
+	if !b.target.loadReport().Leaving {
+		t.Fatal("the load report hides the sign")
+	}
+	if drained := b.target.Drain(t.Context()); drained != nil {
+		t.Fatal(drained)
+	}
+	wg.Wait()
+	if err != nil {
+		t.Fatalf("the request in flight was cut off: %v", err)
+	}
+	if st := b.target.Stats(); st.Completed != 1 || st.CutOff != 0 || !st.Leaving {
+		t.Fatalf("stats: %+v", st)
+	}
+	if _, _, err := b.ask(t.Context(), b.sent(), nil); err == nil {
+		t.Fatal("a stopped target answers")
+	}
+}
+
+func TestReportsLagAndLie(t *testing.T) {
+	b := newBench(t, Config{Slots: 2, Queue: 1, Faults: Faults{ReportLag: table.Duration(time.Hour)}})
+	if b.target.loadReport().InFlight != 0 {
+		t.Fatal("an idle target reports work")
+	}
+	b.target.count(func(s *Stats) { s.Running = 2 })
+	if got := b.target.loadReport().InFlight; got != 0 {
+		t.Fatalf("a lagging report shows %d", got)
+	}
+	b.target.SetFaults(Faults{})
+	if got := b.target.loadReport().InFlight; got != 2 {
+		t.Fatalf("a fresh report shows %d", got)
+	}
+	b.target.SetFaults(Faults{LoadLie: LieGood})
+	if got := b.target.loadReport().InFlight; got != 0 {
+		t.Fatalf("a lying report shows %d", got)
+	}
+	health := func(f Faults) int {
+		b.target.SetFaults(f)
+		resp, err := b.client.Get(b.url + wire.PathTargetHealth)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	if health(Faults{Shed: true}) != http.StatusServiceUnavailable || health(Faults{Shed: true, HealthLie: LieGood}) != http.StatusOK ||
+		health(Faults{HealthLie: LieBad}) != http.StatusServiceUnavailable {
+		t.Fatal("health reports")
+	}
+}
+
+func TestGarbageIsNeverARightAnswer(t *testing.T) {
+	for _, g := range []Garbage{GarbageNoise, GarbageShort} {
+		b := newBench(t, Config{Faults: Faults{Garbage: g}})
+		if status, _, err := b.ask(t.Context(), b.sent(), nil); err == nil {
+			t.Errorf("%s: answer %d passed the check", g, status)
+		}
+	}
+	b := newBench(t, Config{Faults: Faults{Garbage: GarbageDouble}})
+	if _, _, err := b.ask(t.Context(), b.sent(), nil); err != nil {
+		t.Errorf("the first of two answers is right, got %v", err)
+	}
+}
