Send open-loop load and check every answer

Cause: latency, wrong answers and repeated runs have to be measured by the callers and the targets, never by the system itself.

Weighed: a closed loop of workers, which slows with the system and so hides its delay, against requests that are due at fixed times. Requests are due at fixed times here, the wait for a free worker counts, and no correction has to be made afterwards. A resubmission keeps its id, except after a refused connection, when nothing can have arrived and the id would name an instance that is gone.

Change: package load (look-ups kept for their time to live, choice by order and weight, submissions, the check, HdrHistogram percentiles by route and member, the counted runs read from the target stand-ins), `jacinthramp load` with text and JSON reports, an example file. The error kind invariant-broken gives the commands that check something their exit code 1.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -6,5 +6,6 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		standinCommand(),
+		loadCommand(),
 	}
 }
--- a/pkg/fault/answers.go
+++ b/pkg/fault/answers.go
@@ -65,4 +65,6 @@
 	KindStoreAmbiguous:   {Name: "store-ambiguous", Status: http.StatusBadGateway, Outcome: Unknown, RetryAfter: retryLater, Exit: ExitUnavailable},
 	KindPeerUnavailable:  {Name: "peer-unavailable", Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: retrySoon, Exit: ExitUnavailable},
 	KindPeerRejected:     {Name: "peer-rejected", Status: http.StatusForbidden, Outcome: NotRun, Exit: ExitFailure},
+
+	KindInvariantBroken: {Name: "invariant-broken", Status: http.StatusInternalServerError, Outcome: Unknown, Exit: ExitFailure},
 }
--- a/pkg/fault/kind.go
+++ b/pkg/fault/kind.go
@@ -68,6 +68,9 @@
 	KindPeerUnavailable
 	KindPeerRejected
 
+	// Found by a checking command.
+	KindInvariantBroken
+
 	kindCount
 )
 
--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/standin"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/exchange"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/target"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// system is a fake of the system: a look-up that names itself, and a handler.
+type system struct {
+	srv     *httptest.Server
+	mu      sync.Mutex
+	lookups int
+	ids     []string
+	serve   http.HandlerFunc
+}
+
+func newSystem(t *testing.T, serve http.HandlerFunc) *system {
+	t.Helper()
+	s := &system{serve: serve}
+	mux := http.NewServeMux()
+	mux.HandleFunc(wire.PathLookup, s.lookup)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.ids = append(s.ids, r.Header.Get(wire.HeaderRequestID))
+		s.mu.Unlock()
+		s.serve(w, r)
+	})
+	s.srv = httptest.NewServer(mux)
+	t.Cleanup(s.srv.Close)
+	return s
+}
+
+func (s *system) address() string { return s.srv.Listener.Addr().String() }
+
+func (s *system) lookup(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookups++
+	standin.WriteJSON(w, http.StatusOK, wire.LookupAnswer{
+		Route: r.URL.Query().Get("route"), TTLMS: 60_000,
+		Instances: []wire.LookupInstance{{ID: "i-1", Address: s.address(), Weight: 1, IDPrefix: "i-1.x."}},
+	})
+}
+
+func (s *system) do(t *testing.T, once bool) Result {
+	t.Helper()
+	c := NewCaller([]string{s.address()})
+	defer c.Close()
+	return c.Do(t.Context(), Request{
+		Sent:  exchange.Sent{Nonce: "n", Method: http.MethodPost, Path: "/p", BodyBytes: 100, AnswerBytes: 50_000, Once: once},
+		Route: "feedlog", Member: "m", Deadline: 10 * time.Second,
+	})
+}
+
+// right answers as the system and a target do.
+func right(w http.ResponseWriter, r *http.Request) {
+	rec, err := exchange.Receive(r)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set(wire.HeaderOutcome, string(fault.Completed))
+	_ = exchange.Answer(w, rec)
+}
+
+func refuse(w http.ResponseWriter, k fault.Kind) {
+	w.Header().Set(wire.HeaderOutcome, string(k.Answer().Outcome))
+	w.Header().Set(wire.HeaderKind, k.String())
+	w.Header().Set(wire.HeaderRetryAfterMS, "1")
+	w.WriteHeader(k.Answer().Status)
+}
+
+func TestRightAnswerCompletes(t *testing.T) {
+	s := newSystem(t, right)
+	res := s.do(t, true)
+	if res.Outcome != fault.Completed || res.Wrong != nil || res.Submissions != 1 {
+		t.Fatalf("result: %+v", res)
+	}
+	if !strings.HasPrefix(s.ids[0], "i-1.x.") {
+		t.Fatalf("id %q does not begin with the prefix of the look-up", s.ids[0])
+	}
+}
+
+func TestWrongAnswerIsCaught(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"another request's answer": func(w http.ResponseWriter, r *http.Request) {
+			rec, _ := exchange.Receive(r)
+			rec.Nonce = "other"
+			w.Header().Set(wire.HeaderOutcome, string(fault.Completed))
+			_ = exchange.Answer(w, rec)
+		},
+		"a part of the answer": func(w http.ResponseWriter, r *http.Request) {
+			rec, _ := exchange.Receive(r)
+			rec.AnswerBytes--
+			w.Header().Set(wire.HeaderOutcome, string(fault.Completed))
+			_ = exchange.Answer(w, rec)
+		},
+		"no outcome": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+	}
+	for name, serve := range answers {
+		if res := newSystem(t, serve).do(t, true); !exchange.IsWrong(res.Wrong) {
+			t.Errorf("%s: %+v", name, res)
+		}
+	}
+}
+
+func TestNotRunIsSubmittedAgainUnderTheSameID(t *testing.T) {
+	var n int
+	s := newSystem(t, nil)
+	s.serve = func(w http.ResponseWriter, r *http.Request) {
+		if n++; n < 3 {
+			refuse(w, fault.KindOverloaded)
+			return
+		}
+		right(w, r)
+	}
+	res := s.do(t, true)
+	if res.Outcome != fault.Completed || res.Submissions != 3 {
+		t.Fatalf("result: %+v", res)
+	}
+	if s.ids[0] != s.ids[1] || s.ids[1] != s.ids[2] {
+		t.Fatalf("ids: %v", s.ids)
+	}
+}
+
+func TestBrokenConnectionIsCountedAndSubmittedAgain(t *testing.T) {
+	var n int
+	s := newSystem(t, nil)
+	s.serve = func(w http.ResponseWriter, r *http.Request) {
+		if n++; n == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		right(w, r)
+	}
+	res := s.do(t, true)
+	if res.Outcome != fault.Completed || res.CutOff != 1 || s.ids[0] != s.ids[1] {
+		t.Fatalf("result: %+v, ids %v", res, s.ids)
+	}
+	if s.lookups != 2 {
+		t.Fatalf("%d look-ups; a broken connection must expire the answer", s.lookups)
+	}
+}
+
+func TestUnknownStaysUnknown(t *testing.T) {
+	s := newSystem(t, func(w http.ResponseWriter, _ *http.Request) { refuse(w, fault.KindTargetLost) })
+	if res := s.do(t, true); res.Outcome != fault.Unknown || res.Submissions != maxSubmissions || res.Kind != "target-lost" {
+		t.Fatalf("result: %+v", res)
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	s := newSystem(t, right)
+	c := NewCaller([]string{s.address()})
+	defer c.Close()
+	if _, err := c.lookups.get(t.Context(), "feedlog"); err != nil {
+		t.Fatal(err)
+	}
+	s.srv.Close()
+	res := c.Do(t.Context(), Request{Sent: exchange.Sent{Method: http.MethodGet, Path: "/"}, Route: "feedlog", Deadline: time.Minute})
+	if res.Outcome != fault.NotRun || res.CutOff != 0 {
+		t.Fatalf("result: %+v", res)
+	}
+}
+
+func TestChoiceFollowsOrderAndLeavesOutTheTried(t *testing.T) {
+	answer := wire.LookupAnswer{Instances: []wire.LookupInstance{
+		{ID: "far", Order: 2, Weight: 100}, {ID: "near", Order: 0, Weight: 1}, {ID: "near-2", Order: 0, Weight: 1},
+	}}
+	for range 50 {
+		if got := choose(answer, map[string]bool{"near": true}).ID; got != "near-2" {
+			t.Fatalf("chose %s", got)
+		}
+		if got := choose(answer, map[string]bool{"near": true, "near-2": true}).ID; got != "far" {
+			t.Fatalf("chose %s", got)
+		}
+		if got := choose(answer, map[string]bool{"near": true, "near-2": true, "far": true}).Order; got != 0 {
+			t.Fatalf("chose order %d", got)
+		}
+	}
+}
+
+func TestRunMeasuresFromWhenARequestWasDue(t *testing.T) {
+	s := newSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		right(w, r)
+	})
+	rep, err := Run(t.Context(), Settings{
+		Entries: []string{s.address()}, Rate: 100, Duration: table.Duration(500 * time.Millisecond), MaxInFlight: 1,
+		Mix: []Kind{{Route: "feedlog", Method: http.MethodPost, Once: true}}, Members: []Member{{Name: "a"}, {Name: "b"}},
+	})
+	if err != nil || rep.Requests != 50 || rep.Completed != 50 || rep.DuplicateRuns != -1 {
+		t.Fatalf("report: %+v, %v", rep, err)
+	}
+	// One at a time, 20 ms each and due every 10 ms, the last ones are late by
+	// about half of the run.
+	if rep.LatencyMS.P99 < 400 {
+		t.Errorf("p99 = %v ms hides the wait before sending", rep.LatencyMS.P99)
+	}
+	if len(rep.Members) != 2 || rep.Routes["feedlog"].Completed != 50 {
+		t.Errorf("parts: %+v %+v", rep.Routes, rep.Members)
+	}
+}
+
+func TestRunStopsSendingWithItsContext(t *testing.T) {
+	s := newSystem(t, right)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	rep, err := Run(ctx, Settings{Entries: []string{s.address()}, Rate: 10, Duration: table.Duration(time.Minute), Mix: []Kind{{Route: "r"}}})
+	if err != nil || rep.Requests == 0 || rep.Requests > 100 {
+		t.Fatalf("report: %+v, %v", rep, err)
+	}
+}
+
+func TestReportNamesBrokenInvariants(t *testing.T) {
+	col := NewCollector()
+	r := Request{Sent: exchange.Sent{Nonce: "n", Once: true}}
+	col.Add(r, Result{Outcome: fault.NotRun}, 0)
+	if broken := col.Report(&target.Runs{}).Broken(); len(broken) != 0 {
+		t.Fatalf("broken: %v", broken)
+	}
+	rep := col.Report(&target.Runs{Once: map[string]int{"n": 1, "m": 3}})
+	if rep.FalseNotRun != 1 || rep.DuplicateRuns != 2 || len(rep.Broken()) != 2 {
+		t.Fatalf("report: %+v", rep)
+	}
+}
+
+func TestSettingsAreStrict(t *testing.T) {
+	load := func(text string) error {
+		path := filepath.Join(t.TempDir(), "load.yaml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadSettings(path)
+		return err
+	}
+	for _, bad := range []string{
+		"mix: [{route: a}]\n",
+		"entries: ['192.0.2.1:80']\nmix: [{route: a}]\n",
+		"entries: ['127.0.0.1:80']\n",
+		"entries: ['127.0.0.1:80']\nmix: [{rout: a}]\n",
+		"entries: ['127.0.0.1:80']\nrate: -1\nmix: [{route: a}]\n",
+		"entries: ['127.0.0.1:80']\nduration: 1h\nmix: [{route: a}]\n",
+		"entries: ['127.0.0.1:80']\nmax_in_flight: 100000\nmix: [{route: a}]\n",
+	} {
+		if err := load(bad); fault.KindOf(err) != fault.KindInvalidSettings {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	if _, err := LoadSettings("../../examples/load.yaml"); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/pkg/load/settings.go
@@ -0,0 +1,154 @@
+// Package load sends open-loop load to a running system over loopback. It
+// asks the look-up first, as callers do, keeps the answers for their time to
+// live, checks every answer against its request, and measures from the time
+// at which each request was due, so that a slow system can't hide its delay
+// by slowing the load (coordinated omission).
+package load
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/standin"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Settings describe one run of load.
+type Settings struct {
+	// Entries are the loopback addresses of the instances to ask first. Required.
+	Entries []string `yaml:"entries"`
+	// TargetControls are the addresses of the target stand-ins' controls, from
+	// which the counted runs are read at the end. Default none: repeated runs
+	// are then not counted.
+	TargetControls []string `yaml:"target_controls"`
+	// Rate is the number of requests a second. Default 100, at most MaxRate.
+	Rate float64 `yaml:"rate"`
+	// Duration is how long requests are sent. Default 10s, at most MaxDuration.
+	Duration table.Duration `yaml:"duration"`
+	// MaxInFlight bounds the requests in flight; more wait, and their wait is
+	// measured. Default 256.
+	MaxInFlight int `yaml:"max_in_flight"`
+	// Seed makes the mix repeatable. Default 1.
+	Seed uint64 `yaml:"seed"`
+	// Mix says what is sent. Required, at least one.
+	Mix []Kind `yaml:"mix"`
+	// Members share the load. Default one member without a name.
+	Members []Member `yaml:"members"`
+}
+
+// Kind is one kind of request of the mix.
+type Kind struct {
+	// Route is the name of the route in the routes table. Required.
+	Route string `yaml:"route"`
+	// Weight is relative to the sum of the mix's weights. Default 1.
+	Weight int `yaml:"weight"`
+	// Host is the request's host. Default the instance's address.
+	Host string `yaml:"host"`
+	// Path is the request's path. Default "/".
+	Path string `yaml:"path"`
+	// Method is the request's method. Default GET.
+	Method string `yaml:"method"`
+	// Once marks requests that must not run twice. Default false.
+	Once bool `yaml:"once"`
+	// BodyBytes and AnswerBytes are the sizes of the bodies. Default 0.
+	BodyBytes   int64 `yaml:"body_bytes"`
+	AnswerBytes int64 `yaml:"answer_bytes"`
+	// Deadline is the time to the whole answer. Default 5s.
+	Deadline table.Duration `yaml:"deadline"`
+}
+
+// Member is one member and its part of the load.
+type Member struct {
+	// Name is sent with each request. Required.
+	Name string `yaml:"name"`
+	// Weight is relative to the sum of the members' weights. Default 1.
+	Weight int `yaml:"weight"`
+}
+
+// Defaults and bounds of the settings.
+const (
+	DefaultRate        = 100
+	DefaultDuration    = 10 * time.Second
+	DefaultMaxInFlight = 256
+	DefaultDeadline    = 5 * time.Second
+	// MaxRate is in requests a second.
+	MaxRate     = 50_000
+	MaxDuration = 10 * time.Minute
+	// MaxInFlight bounds the setting of that name.
+	MaxInFlight = 10_000
+)
+
+// LoadSettings reads the YAML file at path.
+func LoadSettings(path string) (Settings, error) {
+	var s Settings
+	if err := standin.LoadSettings(path, &s); err != nil {
+		return Settings{}, err
+	}
+	s = s.WithDefaults()
+	return s, s.Validate()
+}
+
+// WithDefaults returns s with its empty fields filled in.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Rate, DefaultRate)
+	setDefault(&s.Duration, table.Duration(DefaultDuration))
+	setDefault(&s.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&s.Seed, 1)
+	s.Mix = append([]Kind(nil), s.Mix...)
+	for i := range s.Mix {
+		k := &s.Mix[i]
+		setDefault(&k.Weight, 1)
+		setDefault(&k.Path, "/")
+		setDefault(&k.Method, http.MethodGet)
+		setDefault(&k.Deadline, table.Duration(DefaultDeadline))
+	}
+	s.Members = append([]Member(nil), s.Members...)
+	if len(s.Members) == 0 {
+		s.Members = []Member{{}}
+	}
+	for i := range s.Members {
+		setDefault(&s.Members[i].Weight, 1)
+	}
+	return s
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// Validate reports the first value of s that can't be used.
+func (s Settings) Validate() error {
+	if len(s.Entries) == 0 {
+		return fault.New(fault.KindInvalidSettings, "entries: at least one address is required")
+	}
+	for _, a := range append(append([]string(nil), s.Entries...), s.TargetControls...) {
+		if err := standin.RequireLoopback(a); err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.Rate <= 0 || s.Rate > MaxRate:
+		return fault.New(fault.KindInvalidSettings, "rate: must be above 0 and at most %d requests a second", MaxRate)
+	case s.Duration <= 0 || s.Duration.Std() > MaxDuration:
+		return fault.New(fault.KindInvalidSettings, "duration: must be above 0s and at most %v", MaxDuration)
+	case s.MaxInFlight < 1 || s.MaxInFlight > MaxInFlight:
+		return fault.New(fault.KindInvalidSettings, "max_in_flight: must be from 1 to %d", MaxInFlight)
+	case len(s.Mix) == 0:
+		return fault.New(fault.KindInvalidSettings, "mix: at least one kind of request is required")
+	}
+	for _, k := range s.Mix {
+		if k.Route == "" || k.Weight < 0 || k.BodyBytes < 0 || k.AnswerBytes < 0 || k.Deadline < 0 {
+			return fault.New(fault.KindInvalidSettings, "mix: each kind needs a route, and no value below zero")
+		}
+	}
+	for _, m := range s.Members {
+		if m.Weight < 0 {
+			return fault.New(fault.KindInvalidSettings, "members: weight of %q is below zero", m.Name)
+		}
+	}
+	return nil
+}
