--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -7,5 +7,14 @@
 	return []*cli.Command{
 		standinCommand(),
 		loadCommand(),
+		validateCommand(),
+		planCommand(),
+		applyCommand(),
+		exportCommand(),
+		historyCommand(),
+		drainCommand(),
+		undrainCommand(),
+		watchCommand(),
+		explainCommand(),
 	}
 }
