Decide by shares, shift meters, queues and zone costs

Cause: the first Core copied the in-flight counts at a table change, so an end was counted on the old copy; it had no queue, no cap and no budget. Weighed: one lock for all decisions against atomics per target and region with one lock for those who wait; the lock is only taken under overload. Change: counters live as long as the requests they count; the packages shift (meter), queue, choice, spill, retry and poison, composed in steer; Demand, Summaries, PoisonRecords, MergePoison, HedgeDelay, MayHedge.

--- /dev/null
+++ b/pkg/decision/choice/latency.go
@@ -0,0 +1,67 @@
+// Package choice rates the targets of a pool: a decaying latency estimate,
+// the ejection of failing targets, the slow start of new ones, and the score
+// by which a target is chosen.
+package choice
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// latencyDecay is the time in which an observation loses most of its weight.
+const latencyDecay = 5 * time.Second
+
+// Latency is a latency estimate that jumps to a higher observation and decays
+// to lower ones (peak EWMA). The zero value knows nothing. It may be used from
+// several goroutines at once; concurrent observations may be lost.
+type Latency struct {
+	nanos atomic.Uint64
+	at    atomic.Int64
+}
+
+// Observe takes in one latency measured at now, in nanoseconds on any one
+// monotonic scale.
+func (l *Latency) Observe(now int64, d time.Duration) {
+	seen := float64(d)
+	old := math.Float64frombits(l.nanos.Load())
+	last := l.at.Swap(now)
+	if old == 0 || seen >= old {
+		l.nanos.Store(math.Float64bits(seen))
+		return
+	}
+	keep := math.Exp(-float64(max(0, now-last)) / float64(latencyDecay))
+	l.nanos.Store(math.Float64bits(old*keep + seen*(1-keep)))
+}
+
+// Value returns the estimate, or zero when nothing was observed.
+func (l *Latency) Value() time.Duration {
+	return time.Duration(math.Float64frombits(l.nanos.Load()))
+}
+
+// meanWeight is the weight of one observation in a Mean.
+const meanWeight = 0.02
+
+// Mean is a moving mean over the last observations. The zero value knows
+// nothing. It may be used from several goroutines at once; concurrent
+// observations may be lost.
+type Mean struct {
+	nanos atomic.Uint64
+}
+
+// Observe takes in one duration.
+func (m *Mean) Observe(d time.Duration) {
+	old := math.Float64frombits(m.nanos.Load())
+	if old == 0 {
+		old = float64(d)
+	}
+	m.nanos.Store(math.Float64bits(old + meanWeight*(float64(d)-old)))
+}
+
+// Value returns the mean, or fallback when nothing was observed.
+func (m *Mean) Value(fallback time.Duration) time.Duration {
+	if v := math.Float64frombits(m.nanos.Load()); v > 0 {
+		return time.Duration(v)
+	}
+	return fallback
+}
--- /dev/null
+++ b/pkg/decision/retry/budget.go
@@ -0,0 +1,50 @@
+// Package retry bounds the attempts beyond the first: retries and hedges draw
+// on one budget, which first attempts fill.
+package retry
+
+import "sync/atomic"
+
+const (
+	// Ratio is the largest number of further attempts per first attempt.
+	Ratio = 0.1
+
+	unitsPerAttempt = 1000
+	unitsPerFirst   = unitsPerAttempt / 10
+	// reserve lets an instance with little traffic retry at all.
+	reserve = 1 * unitsPerAttempt
+	// burst bounds what quiet times save up.
+	burst = 20 * unitsPerAttempt
+)
+
+// Budget counts attempts. It may be used from several goroutines at once. The
+// zero value is not usable; see NewBudget.
+type Budget struct {
+	units atomic.Int64
+}
+
+// NewBudget returns a budget that allows one further attempt at once.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.units.Store(reserve)
+	return b
+}
+
+// First counts a first attempt.
+func (b *Budget) First() {
+	if b.units.Load() < burst {
+		b.units.Add(unitsPerFirst)
+	}
+}
+
+// Spend takes one further attempt, and reports whether the budget had one.
+func (b *Budget) Spend() bool {
+	for {
+		have := b.units.Load()
+		if have < unitsPerAttempt {
+			return false
+		}
+		if b.units.CompareAndSwap(have, have-unitsPerAttempt) {
+			return true
+		}
+	}
+}
--- a/pkg/decision/shift/shares.go
+++ b/pkg/decision/shift/shares.go
@@ -162,3 +162,16 @@
 	}
 	return -1
 }
+
+// RampEnd returns the time from which the shares of t no longer change.
+func RampEnd(t *table.Tables) time.Time {
+	if len(t.Shifts) == 0 || t.AcceptedAt.IsZero() {
+		return t.AcceptedAt
+	}
+	longest := 0.0
+	for i := range t.Pools {
+		shiftCap, window := CapOf(&t.Pools[i])
+		longest = max(longest, rampStretch*window.Seconds()/shiftCap)
+	}
+	return t.AcceptedAt.Add(time.Duration(longest * float64(time.Second)))
+}
--- /dev/null
+++ b/pkg/decision/steer/bench_test.go
@@ -0,0 +1,51 @@
+package steer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// sites returns tables with one pool whose targets are spread over n zones.
+func sites(n int) *table.Tables {
+	t := &table.Tables{Version: 1, AcceptedAt: epoch}
+	p := table.Pool{Name: "p", Region: "osrednja"}
+	for i := range n {
+		p.Targets = append(p.Targets, table.Target{Name: fmt.Sprintf("t%d", i), Address: "127.0.0.1:1", Zone: fmt.Sprintf("z%d", i), Slots: 4})
+	}
+	t.Pools = []table.Pool{p}
+	t.Routes = []table.Route{{Name: "r", Pools: []table.PoolWeight{{Pool: "p", Weight: 1}}}}
+	return t
+}
+
+func BenchmarkDecide(b *testing.B) {
+	near := fixture{regions: []string{"osrednja"}, targets: 36, slots: 4}.tables()
+	for i := range near.Pools[0].Targets {
+		near.Pools[0].Targets[i].Zone = home.Zone
+	}
+	far := sites(2000)
+	for _, bc := range []struct {
+		name string
+		tb   *table.Tables
+		zone string
+	}{
+		{"36 targets", near, home.Zone},
+		{"2000 sites, own zone", far, "z7"},
+		{"2000 sites, hop", far, "elsewhere"},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			self := Self{Instance: "i", Zone: bc.zone, Region: "osrednja"}
+			c := New(self, rand.NewPCG(1, 2))
+			c.SetTables(epoch, bc.tb)
+			c.SetShares(epoch, allShares(bc.tb, self, at(time.Hour)))
+			r := &Request{Route: &bc.tb.Routes[0], Deadline: at(time.Hour)}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Done(at(1), c.Decide(at(1), r), Result{Latency: time.Millisecond})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/decision/steer/core_test.go
@@ -0,0 +1,230 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// local returns tables with a single pool, so that nothing hops to a region.
+func local() *table.Tables {
+	f := small
+	f.regions = f.regions[:1]
+	t := f.tables()
+	for i := range t.Pools[0].Targets {
+		t.Pools[0].Targets[i].Zone = home.Zone
+	}
+	return t
+}
+
+func TestTableChangeKeepsRequestsInFlightCounted(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	for range 8 {
+		mustDispatch(t, c.Decide(at(1), newRequest(tb, at(1))))
+	}
+	next := *tb
+	next.Version = 2
+	c.SetTables(at(2), &next)
+	if d := c.Decide(at(3), newRequest(&next, at(3))); d.Verdict != Wait {
+		t.Fatalf("decision with all slots in use = %+v, want Wait", d)
+	}
+}
+
+func TestRemovedTargetStaysCountedUntilItIsIdle(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	d := mustDispatch(t, c.Decide(at(1), newRequest(tb, at(1))))
+	without, again := *tb, *tb
+	without.Version, again.Version = 2, 3
+	without.Pools = []table.Pool{tb.Pools[0]}
+	without.Pools[0].Targets = nil
+	c.SetTables(at(2), &without)
+	c.SetTables(at(3), &again)
+	if got := c.state.Load().slots[d.Target].inFlight.Load(); got != 1 {
+		t.Fatalf("in flight at the target that came back = %d, want 1", got)
+	}
+	c.Done(at(4), d, Result{})
+	if got := c.state.Load().slots[d.Target].inFlight.Load(); got != 0 {
+		t.Fatalf("in flight after Done = %d, want 0", got)
+	}
+}
+
+func TestNothingIsDispatchedOnceTheLeaseHasExpired(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	d := c.Decide(at(time.Hour), newRequest(tb, at(time.Hour)))
+	if d.Verdict != Refuse || d.Kind != fault.KindShareLapsed {
+		t.Fatalf("decision = %+v, want share-lapsed", d)
+	}
+}
+
+func TestWaitingRequestGetsTheNextFreeSlot(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	var last Decision
+	for range 8 {
+		last = mustDispatch(t, c.Decide(at(1), newRequest(tb, at(1))))
+	}
+	w := c.Decide(at(2), newRequest(tb, at(2)))
+	if w.Verdict != Wait {
+		t.Fatalf("decision = %+v, want Wait", w)
+	}
+	woken := c.Done(at(3), last, Result{Latency: time.Millisecond})
+	if len(woken) != 1 || woken[0].Ticket != w.Ticket || woken[0].Decision.Target != last.Target {
+		t.Fatalf("woken = %+v", woken)
+	}
+	if c.Cancel(at(4), w.Ticket) {
+		t.Fatal("Cancel took out a request that has been woken")
+	}
+}
+
+func TestWaitEndsWithAnAnswerAtTheQueueTimeout(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	for range 8 {
+		mustDispatch(t, c.Decide(at(1), newRequest(tb, at(1))))
+	}
+	w := c.Decide(at(2), newRequest(tb, at(2)))
+	if got := c.Tick(at(2 + table.DefaultQueueTimeout - time.Millisecond)); len(got) != 0 {
+		t.Fatalf("woken too early: %+v", got)
+	}
+	got := c.Tick(at(2 + table.DefaultQueueTimeout))
+	if len(got) != 1 || got[0].Ticket != w.Ticket || got[0].Decision.Kind != fault.KindOverloaded || got[0].Decision.RetryAfter <= 0 {
+		t.Fatalf("woken = %+v", got)
+	}
+}
+
+func TestRequestThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	for range 8 {
+		mustDispatch(t, c.Decide(at(1), newRequest(tb, at(1))))
+	}
+	r := newRequest(tb, at(2))
+	r.Deadline = at(2 + time.Millisecond)
+	if d := c.Decide(at(2), r); d.Verdict != Refuse || d.Kind != fault.KindOverloaded || d.RetryAfter <= 0 {
+		t.Fatalf("decision = %+v, want a refusal with a time to come back", d)
+	}
+}
+
+func TestLeavingTargetGetsNoNewWorkUntilItsNextIncarnation(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	c.ObserveLoad(at(1), LoadReport{Target: "osrednja-t0", At: at(1), Leaving: true, Healthy: true, Incarnation: "a"})
+	c.ObserveLoad(at(2), LoadReport{Target: "osrednja-t0", At: at(2), Healthy: true, Incarnation: "a"})
+	for range 6 {
+		if d := mustDispatch(t, c.Decide(at(3), newRequest(tb, at(3)))); d.Target == "osrednja-t0" {
+			t.Fatal("a leaving target got new work")
+		}
+	}
+	c.ObserveLoad(at(4), LoadReport{Target: "osrednja-t0", At: at(4), Healthy: true, Incarnation: "b"})
+	if d := mustDispatch(t, c.Decide(at(5), newRequest(tb, at(5)))); d.Target != "osrednja-t0" {
+		t.Fatalf("target = %s, want the restarted one", d.Target)
+	}
+}
+
+func TestInstanceWithoutLocalTargetsHops(t *testing.T) {
+	tb := small.tables()
+	c := New(Self{Instance: "x", Zone: "primorska-1", Region: "primorska"}, rand.NewPCG(3, 4))
+	c.SetTables(epoch, tb)
+	d := c.Decide(at(1), newRequest(tb, at(1)))
+	if d.Verdict != Hop || d.Zone == "" {
+		t.Fatalf("decision = %+v, want a hop", d)
+	}
+	c.Done(at(2), d, Result{Latency: time.Millisecond})
+}
+
+func TestRequestFromAnotherInstanceIsNeverPassedOn(t *testing.T) {
+	tb := small.tables()
+	c := newCore(tb)
+	for range 40 {
+		r := newRequest(tb, at(1))
+		r.Pool = "feedlog-osrednja"
+		if d := c.Decide(at(1), r); d.Verdict == Hop {
+			t.Fatalf("decision = %+v", d)
+		}
+	}
+}
+
+func TestFailingTargetsAreEjectedUpToHalfOfThePool(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	for range 100 {
+		d := c.Decide(at(time.Second), newRequest(tb, at(time.Second)))
+		if d.Verdict != Dispatch {
+			continue
+		}
+		c.Done(at(time.Second), d, Result{Kind: fault.KindTargetRefused})
+	}
+	ejected := 0
+	for _, m := range c.state.Load().pools["feedlog-osrednja"].local {
+		if m.health.Ejected(c.nanos(at(time.Second))) {
+			ejected++
+		}
+	}
+	if ejected != 2 {
+		t.Fatalf("ejected = %d of 4, want 2", ejected)
+	}
+}
+
+func TestRetryNeedsIdempotenceOrNotRun(t *testing.T) {
+	tb := local()
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		first      fault.Kind
+		want       bool
+	}{
+		{"idempotent and unknown", true, fault.KindTargetTimeout, true},
+		{"non-idempotent and unknown", false, fault.KindTargetTimeout, false},
+		{"non-idempotent and not run", false, fault.KindTargetRefused, true},
+		{"answered", true, fault.KindNone, false},
+		{"poison", true, fault.KindPoisonHeld, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCore(tb)
+			r := newRequest(tb, at(1))
+			r.Idempotent = tc.idempotent
+			if got := c.MayRetry(at(2), r, Result{Kind: tc.first}); got != tc.want {
+				t.Fatalf("MayRetry = %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestRequestThatMayHaveRunStaysUnretriableAfterALaterNotRun(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	r := newRequest(tb, at(1))
+	r.Idempotent = false
+	c.MayRetry(at(2), r, Result{Kind: fault.KindTargetTimeout})
+	if c.MayRetry(at(3), r, Result{Kind: fault.KindTargetRefused}) {
+		t.Fatal("a request that may have run was allowed to run again")
+	}
+}
+
+func TestPoisonRequestIsHeldAfterTwoTargets(t *testing.T) {
+	tb := local()
+	c := newCore(tb)
+	lost := 0
+	for range 10 {
+		r := newRequest(tb, at(1))
+		r.Fingerprint = 77
+		d := c.Decide(at(1), r)
+		if d.Verdict != Dispatch {
+			if d.Kind != fault.KindPoisonHeld {
+				t.Fatalf("decision = %+v", d)
+			}
+			continue
+		}
+		lost++
+		c.Done(at(1), d, Result{Kind: fault.KindTargetLost})
+	}
+	if lost != 2 {
+		t.Fatalf("targets lost = %d, want 2", lost)
+	}
+}
--- /dev/null
+++ b/pkg/decision/steer/observe.go
@@ -0,0 +1,111 @@
+package steer
+
+import "time"
+
+// ObserveLoad takes in a target's report.
+func (c *Core) ObserveLoad(now time.Time, rep LoadReport) {
+	if s, ok := c.state.Load().slots[rep.Target]; ok {
+		s.observe(c.nanos(now), c.nanos(rep.At), &rep)
+	}
+}
+
+// ObserveZone takes in another zone's summary. A time after now counts as now.
+func (c *Core) ObserveZone(now time.Time, sum ZoneSummary) {
+	p, ok := c.state.Load().pools[sum.Pool]
+	if !ok {
+		return
+	}
+	for _, z := range p.zones {
+		if z.name == sum.Zone {
+			z.observe(min(c.nanos(now), c.nanos(sum.At)), sum)
+		}
+	}
+}
+
+// Summaries returns this instance's part of its zone's headroom, by pool.
+func (c *Core) Summaries(now time.Time) []ZoneSummary {
+	st := c.state.Load()
+	ns := c.nanos(now)
+	var out []ZoneSummary
+	for _, p := range st.pools {
+		if len(p.local) == 0 {
+			continue
+		}
+		sum := ZoneSummary{
+			Zone: c.self.Zone, Pool: p.name, At: now,
+			Queued: int(p.queued.Load()), LatencyEstimate: p.service.Value(priorService),
+		}
+		if now.Before(st.expires) {
+			usable, inFlight := p.localSlots(ns)
+			sum.Slots, sum.Free = int(usable), int(usable-inFlight)
+			sum.Free = min(sum.Free, int(p.region.share.Load()-p.region.inFlight.Load()))
+		}
+		out = append(out, sum)
+	}
+	return out
+}
+
+// TargetDemand is the use of this instance's share of a target's slots.
+type TargetDemand struct {
+	Target string
+	Pool   string
+	Share  int
+	InUse  int
+}
+
+// RegionDemand is the use of this instance's share of a region's limit.
+type RegionDemand struct {
+	Region string
+	Share  int
+	InUse  int
+	// Waiting is the number of requests that wait for pools of the region.
+	Waiting int
+}
+
+// PoolDemand is the number of requests that wait for a pool in this zone. Any
+// target of the pool could serve them.
+type PoolDemand struct {
+	Pool    string
+	Waiting int
+}
+
+// Demand says where shares are used, idle and missing.
+type Demand struct {
+	Targets []TargetDemand
+	Pools   []PoolDemand
+	Regions []RegionDemand
+}
+
+// Demand returns the demand of this instance. Targets and pools are those
+// with targets in this zone. Targets that the tables no longer hold are listed
+// while they have requests in flight.
+func (c *Core) Demand() Demand {
+	st := c.state.Load()
+	var d Demand
+	byRegion := make(map[string]int)
+	for _, p := range st.pools {
+		if len(p.local) == 0 {
+			continue
+		}
+		waiting := int(p.queued.Load())
+		byRegion[p.region.name] += waiting
+		d.Pools = append(d.Pools, PoolDemand{Pool: p.name, Waiting: waiting})
+	}
+	for name, s := range st.slots {
+		td := TargetDemand{Target: name, Share: int(s.share.Load()), InUse: int(s.inFlight.Load())}
+		m, ok := st.members[name]
+		if ok && m.target.Zone != c.self.Zone || !ok && td.InUse == 0 {
+			continue
+		}
+		if ok {
+			td.Pool = m.pool
+		}
+		d.Targets = append(d.Targets, td)
+	}
+	for name, rg := range st.regions {
+		d.Regions = append(d.Regions, RegionDemand{
+			Region: name, Share: int(rg.share.Load()), InUse: int(rg.inFlight.Load()), Waiting: byRegion[name],
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/decision/steer/route.go
@@ -0,0 +1,96 @@
+package steer
+
+import (
+	"math"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/shift"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/spill"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// goldenRatio spreads the arrivals of a route evenly over its pools.
+const goldenRatio = 0.6180339887498949
+
+// route follows the arrivals of one route over table changes.
+type route struct {
+	arrivals atomic.Int64
+	plan     atomic.Pointer[plan]
+	meters   map[string]*meter
+}
+
+// meter is a shift meter with the cap that it was made for.
+type meter struct {
+	*shift.Meter
+	shiftCap float64
+	window   time.Duration
+}
+
+// plan is the split of a route's arrivals at this instance.
+type plan struct {
+	picks []pick
+}
+
+// pick is one pool of a plan.
+type pick struct {
+	pool  *pool
+	meter *meter
+	share float64
+	// upTo is the sum of the shares up to this pool's.
+	upTo float64
+}
+
+func newRoute() *route {
+	rt := &route{meters: make(map[string]*meter)}
+	rt.plan.Store(&plan{})
+	return rt
+}
+
+// replan computes the split at now. The caller holds the Core's write lock.
+func (rt *route) replan(c *Core, now time.Time, st *state, row *table.Route) {
+	shares := shift.Shares(st.tables, row, now)
+	parts := make([]spill.Part, len(shares))
+	for i, s := range shares {
+		parts[i] = spill.Part{Region: st.pools[s.Pool].row.Region, Share: s.Share}
+	}
+	spill.Split(parts, c.self.Region)
+	next := &plan{picks: make([]pick, 0, len(shares))}
+	sum := 0.0
+	for i, s := range shares {
+		p := st.pools[s.Pool]
+		if p.row.Drain {
+			continue
+		}
+		sum += parts[i].Share
+		next.picks = append(next.picks, pick{pool: p, meter: rt.meterOf(c, now, p, parts[i].Share), share: parts[i].Share, upTo: sum})
+	}
+	rt.plan.Store(next)
+}
+
+// meterOf returns the meter of p. A new one starts at share; one with a new
+// cap starts at the smallest share that the old one has seen.
+func (rt *route) meterOf(c *Core, now time.Time, p *pool, share float64) *meter {
+	shiftCap, window := p.capOf()
+	m, ok := rt.meters[p.row.Name]
+	if ok && m.shiftCap == shiftCap && m.window == window {
+		return m
+	}
+	if ok {
+		share = m.Lowest()
+	}
+	m = &meter{Meter: shift.NewMeter(shiftCap, window, share, c.nanos(now)), shiftCap: shiftCap, window: window}
+	rt.meters[p.row.Name] = m
+	return m
+}
+
+// first returns the index of the pool that the plan gives to the n-th arrival.
+func (pl *plan) first(n int64) int {
+	_, point := math.Modf(float64(n) * goldenRatio)
+	i := sort.Search(len(pl.picks), func(i int) bool { return point < pl.picks[i].upTo })
+	if i == len(pl.picks) {
+		return 0
+	}
+	return i
+}
--- /dev/null
+++ b/pkg/decision/steer/slot.go
@@ -0,0 +1,98 @@
+package steer
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/choice"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// slot follows one target from this instance. It lives as long as the target
+// has requests in flight, whatever tables come into force meanwhile.
+type slot struct {
+	name     string
+	share    atomic.Int64
+	inFlight atomic.Int64
+	latency  choice.Latency
+	health   choice.Health
+	report   choice.Report
+	// pausedTo ends a short pause after the target refused a request.
+	pausedTo atomic.Int64
+
+	leaving     atomic.Bool
+	leavingAt   atomic.Int64
+	incarnation atomic.Pointer[string]
+}
+
+// member is a target's row in the tables in force.
+type member struct {
+	*slot
+	target table.Target
+	pool   string
+	drain  bool
+}
+
+// region counts the requests in flight to one region from this instance.
+type region struct {
+	name     string
+	share    atomic.Int64
+	inFlight atomic.Int64
+}
+
+// acquire takes one request of limit unless it is used up.
+func acquire(inFlight *atomic.Int64, limit int64) bool {
+	for {
+		n := inFlight.Load()
+		if n >= limit {
+			return false
+		}
+		if inFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// usable returns how many requests the target may have in flight at now.
+func (m *member) usable(now int64) int64 {
+	if m.drain || m.leaving.Load() || m.health.Ejected(now) || now < m.pausedTo.Load() {
+		return 0
+	}
+	return m.health.Usable(now, m.share.Load())
+}
+
+const (
+	// shedPause keeps new work from a target that has just refused some.
+	shedPause = 50 * time.Millisecond
+	// leavingHold is how long a target that said it is leaving is believed
+	// while its reports say the contrary under the same incarnation.
+	leavingHold = 60 * time.Second
+)
+
+// leave stops new work for the target.
+func (s *slot) leave(now int64) {
+	if !s.leaving.Swap(true) {
+		s.leavingAt.Store(now)
+	}
+}
+
+// observe takes in a report of the target about itself.
+func (s *slot) observe(now, at int64, rep *LoadReport) {
+	known := s.incarnation.Load()
+	fresh := rep.Incarnation != "" && (known == nil || *known != rep.Incarnation)
+	if fresh {
+		inc := rep.Incarnation
+		s.incarnation.Store(&inc)
+	}
+	if fresh && known != nil {
+		s.leaving.Store(false)
+		s.health.Restarted(now)
+	}
+	switch {
+	case rep.Leaving:
+		s.leave(now)
+	case rep.Healthy && s.leaving.Load() && now-s.leavingAt.Load() > leavingHold.Nanoseconds():
+		s.leaving.Store(false)
+	}
+	s.report.Observe(at, rep.InFlight, rep.Queued, int(s.inFlight.Load()), rep.Slots)
+}
--- /dev/null
+++ b/pkg/decision/steer/state.go
@@ -0,0 +1,155 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/shift"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// state is an immutable snapshot of the tables and of what is counted for
+// their rows. The counters themselves are shared between snapshots.
+type state struct {
+	tables  *table.Tables
+	expires time.Time
+	shares  Shares
+	slots   map[string]*slot
+	members map[string]*member
+	regions map[string]*region
+	pools   map[string]*pool
+	routes  map[string]*route
+}
+
+// pool is a row of the pools table as this instance sees it.
+type pool struct {
+	*poolStats
+	row    *table.Pool
+	region *region
+	// local are the pool's targets in this zone; zones are the others.
+	local []*member
+	zones []*zone
+}
+
+// emptyState is in force until SetTables.
+func emptyState() *state {
+	return &state{tables: &table.Tables{}}
+}
+
+// build returns the snapshot for t, with the counters of old.
+func (c *Core) build(now time.Time, old *state, t *table.Tables) *state {
+	st := &state{
+		tables: t, expires: old.expires, shares: old.shares,
+		slots:   make(map[string]*slot),
+		members: make(map[string]*member),
+		regions: make(map[string]*region),
+		pools:   make(map[string]*pool),
+		routes:  make(map[string]*route),
+	}
+	for name, s := range old.slots {
+		if s.inFlight.Load() > 0 {
+			st.slots[name] = s
+		}
+	}
+	for name, rg := range old.regions {
+		st.regions[name] = rg
+	}
+	for i := range t.Pools {
+		c.addPool(st, old, &t.Pools[i])
+	}
+	for i := range t.Routes {
+		c.addRoute(now, st, old, &t.Routes[i])
+	}
+	st.applyShares()
+	return st
+}
+
+// addPool adds the row p and its targets.
+func (c *Core) addPool(st, old *state, row *table.Pool) {
+	rg, ok := st.regions[row.Region]
+	if !ok {
+		rg = &region{name: row.Region}
+		st.regions[row.Region] = rg
+	}
+	p := &pool{row: row, region: rg}
+	if prev, ok := old.pools[row.Name]; ok {
+		p.poolStats = prev.poolStats
+	} else {
+		p.poolStats = newPoolStats(row.Name)
+	}
+	for _, tg := range row.Targets {
+		m := &member{slot: st.slots[tg.Name], target: tg, pool: row.Name, drain: tg.Drain || row.Drain}
+		if m.slot == nil {
+			m.slot = old.slots[tg.Name]
+		}
+		if m.slot == nil {
+			m.slot = &slot{name: tg.Name}
+		}
+		st.slots[tg.Name] = m.slot
+		st.members[tg.Name] = m
+		if tg.Zone == c.self.Zone {
+			p.local = append(p.local, m)
+		} else if !m.drain {
+			p.addZone(c.zoneOf(old, row, tg.Zone), tg.Slots)
+		}
+	}
+	st.pools[row.Name] = p
+}
+
+// zoneOf returns what is known about the pool in zone.
+func (c *Core) zoneOf(old *state, row *table.Pool, name string) *zoneStats {
+	if prev, ok := old.pools[row.Name]; ok {
+		for _, z := range prev.zones {
+			if z.name == name {
+				return z.zoneStats
+			}
+		}
+	}
+	return newZoneStats(name, row.Region == c.self.Region)
+}
+
+// addZone counts slots of a target in another zone.
+func (p *pool) addZone(s *zoneStats, slots int) {
+	for _, z := range p.zones {
+		if z.name == s.name {
+			z.slots += slots
+			return
+		}
+	}
+	p.zones = append(p.zones, &zone{zoneStats: s, slots: slots})
+}
+
+// addRoute adds the row r with its plan at now.
+func (c *Core) addRoute(now time.Time, st, old *state, row *table.Route) {
+	rt, ok := old.routes[row.Name]
+	if !ok {
+		rt = newRoute()
+	}
+	st.routes[row.Name] = rt
+	rt.replan(c, now, st, row)
+}
+
+// applyShares writes the shares to the counters. A target or region without a
+// share gets nothing.
+func (st *state) applyShares() {
+	for name, s := range st.slots {
+		s.share.Store(int64(st.shares.Slots[name]))
+	}
+	for name, rg := range st.regions {
+		rg.share.Store(int64(st.shares.Regions[name]))
+	}
+}
+
+// capOf returns the shift cap and window of the pool, with the defaults.
+func (p *pool) capOf() (float64, time.Duration) { return shift.CapOf(p.row) }
+
+// localSlots returns how many requests the pool may have in flight in this
+// zone from this instance at now, and how many it has.
+func (p *pool) localSlots(now int64) (usable, inFlight int64) {
+	for _, m := range p.local {
+		if u := m.usable(now); u > 0 {
+			usable += u
+			inFlight += min(u, m.inFlight.Load())
+		}
+	}
+	return usable, inFlight
+}
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -44,6 +44,8 @@
 	// tried holds the targets and zones that must not be chosen again.
 	tried      [maxAttempts]string
 	triedCount int
+	// mayHaveRun is set once an attempt had an unknown outcome.
+	mayHaveRun bool
 }
 
 // maxAttempts bounds the dispatches and hops of one request.
@@ -99,8 +101,14 @@
 	// Ticket is set with Wait.
 	Ticket uint64
 
-	// slot refers to the counters that Done gives back.
-	slot *slot
+	// What Done gives back and takes in.
+	slot        *slot
+	region      *region
+	zone        *zoneStats
+	stats       *poolStats
+	fingerprint uint64
+	// counted is set when the poison register counts the attempt.
+	counted bool
 }
 
 // Wakeup is the final decision on a request that waited.
--- /dev/null
+++ b/pkg/decision/steer/zone.go
@@ -0,0 +1,154 @@
+package steer
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/choice"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/spill"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+const (
+	// zoneProbes bounds the zones that one decision looks at.
+	zoneProbes = 8
+	// summaryPart is the part of a reported headroom that one instance uses,
+	// since others see the same report.
+	summaryPart = 0.5
+	// unknownPart is the part of a zone's slots that is taken to be free when
+	// nothing is known.
+	unknownPart = 0.25
+	// zonePause keeps hops from a zone that has just refused one.
+	zonePause = 200 * time.Millisecond
+	// priorService is the service time assumed before any was seen.
+	priorService = 20 * time.Millisecond
+)
+
+// zoneStats is what is known about one pool in another zone.
+type zoneStats struct {
+	name       string
+	sameRegion bool
+	summary    atomic.Pointer[ZoneSummary]
+	summaryAt  atomic.Int64
+	// sent counts the hops since the last summary.
+	sent     atomic.Int64
+	inFlight atomic.Int64
+	rtt      choice.Mean
+	health   choice.Health
+	pausedTo atomic.Int64
+}
+
+// zone is a zoneStats with the slots that the tables give it.
+type zone struct {
+	*zoneStats
+	slots int
+}
+
+func newZoneStats(name string, sameRegion bool) *zoneStats {
+	return &zoneStats{name: name, sameRegion: sameRegion}
+}
+
+// observe takes in the zone's summary; an older one than the last is ignored.
+func (z *zoneStats) observe(at int64, sum ZoneSummary) {
+	if z.summary.Load() != nil && at <= z.summaryAt.Load() {
+		return
+	}
+	z.summary.Store(&sum)
+	z.summaryAt.Store(at)
+	z.sent.Store(0)
+}
+
+// open reports whether hops to the zone are allowed at now.
+func (z *zoneStats) open(now int64) bool {
+	return now >= z.pausedTo.Load() && !z.health.Ejected(now)
+}
+
+// headroom estimates how many more requests the zone can take at once.
+func (z *zone) headroom(now int64) float64 {
+	unknown := unknownPart*float64(z.slots) - float64(z.inFlight.Load())
+	sum := z.summary.Load()
+	if sum == nil {
+		return unknown
+	}
+	fresh := spill.Freshness(time.Duration(now - z.summaryAt.Load()))
+	free := summaryPart*float64(sum.Free-sum.Queued) - float64(z.sent.Load())
+	return fresh*free + (1-fresh)*unknown
+}
+
+// roundTrip returns the time that a hop adds to the service time.
+func (z *zoneStats) roundTrip() time.Duration {
+	if z.sameRegion {
+		return z.rtt.Value(spill.PriorZoneRTT)
+	}
+	return z.rtt.Value(spill.PriorRegionRTT)
+}
+
+// service returns the zone's reported service time.
+func (z *zoneStats) service(fallback time.Duration) time.Duration {
+	if sum := z.summary.Load(); sum != nil && sum.LatencyEstimate > 0 {
+		return sum.LatencyEstimate
+	}
+	return fallback
+}
+
+// cost estimates what a hop to the zone costs beyond a free slot here.
+func (z *zone) cost(local time.Duration) time.Duration {
+	return z.roundTrip() + z.service(local) - local
+}
+
+// finish takes in how a hop ended.
+func (z *zoneStats) finish(now int64, res Result) {
+	z.inFlight.Add(-1)
+	switch res.Kind {
+	case fault.KindNone:
+		z.health.Succeeded()
+		if sum := z.summary.Load(); sum != nil {
+			z.rtt.Observe(max(0, res.Latency-sum.LatencyEstimate))
+		}
+	case fault.KindHopLost, fault.KindHopRefused:
+		if z.health.Failed() {
+			z.health.Eject(now)
+		}
+	case fault.KindOverloaded, fault.KindRegionFull, fault.KindShareLapsed,
+		fault.KindShiftCapped, fault.KindNoTarget, fault.KindLeaving, fault.KindNotReady:
+		z.pausedTo.Store(now + zonePause.Nanoseconds())
+	}
+}
+
+// bestZone returns the cheapest open zone that has headroom, and its cost.
+// Without one it returns the one with the most headroom, and math.MaxInt64.
+// Of many zones it looks at a random run of zoneProbes.
+func (c *Core) bestZone(p *pool, r *Request, now int64) (*zone, time.Duration) {
+	n := len(p.zones)
+	if n == 0 {
+		return nil, 0
+	}
+	var best, last *zone
+	bestCost := time.Duration(math.MaxInt64)
+	bestRoom, lastRoom := 0.0, math.Inf(-1)
+	local := p.service.Value(priorService)
+	start := int(c.random() % uint64(n))
+	for i := range min(n, zoneProbes) {
+		z := p.zones[(start+i)%n]
+		if !z.open(now) || r.Excluded(z.name) {
+			continue
+		}
+		room := z.headroom(now)
+		if room > lastRoom {
+			last, lastRoom = z, room
+		}
+		if room < 1 {
+			continue
+		}
+		cost := z.cost(local)
+		near := best != nil && cost < bestCost+bestCost/4 && bestCost < cost+cost/4
+		if best == nil || (near && room > bestRoom) || (!near && cost < bestCost) {
+			best, bestCost, bestRoom = z, cost, room
+		}
+	}
+	if best != nil {
+		return best, bestCost
+	}
+	return last, math.MaxInt64
+}
