--- a/cmd/jacinthramp/load.go
+++ b/cmd/jacinthramp/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -19,18 +18,6 @@
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
-// loadOutputFlag chooses between a table and JSON.
-func loadOutputFlag() cli.Flag {
-	return &cli.StringFlag{Name: "output", Usage: "`FORMAT` of the report: text or json", Value: "text", Validator: checkLoadOutput}
-}
-
-func checkLoadOutput(v string) error {
-	if v == "text" || v == "json" {
-		return nil
-	}
-	return fault.New(fault.KindInvalidSettings, "output must be text or json, not %q", v)
-}
-
 // loadCommand sends load to a running system.
 func loadCommand() *cli.Command {
 	return &cli.Command{
@@ -43,7 +30,7 @@
 			configFlag(),
 			&cli.FloatFlag{Name: "rate", Usage: "requests a second, in place of the settings' `RATE`"},
 			&cli.DurationFlag{Name: "duration", Usage: "how long to send, in place of the settings' `TIME`"},
-			loadOutputFlag(),
+			outputFlag(),
 		},
 		Action: runLoad,
 	}
@@ -84,10 +71,8 @@
 }
 
 func writeLoadReport(w io.Writer, format string, rep load.Report) error {
-	if format == "json" {
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(rep)
+	if format == outputJSON {
+		return writeJSON(w, rep)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, row := range []struct {
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -133,7 +133,12 @@
 // had, so that the request may have arrived.
 func (s *submission) send(ctx context.Context, address string) (resp *http.Response, sent bool, err error) {
 	var got atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	// The transport repeats a request that must not run twice only when
+	// nothing of it was written; each try begins with GetConn.
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { got.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { got.Store(true) },
+	}
 	r := s.request
 	var body io.Reader
 	if r.BodyBytes > 0 {
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -11,11 +11,11 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/strictyaml"
 )
 
 // shutdownTimeout bounds the wait for requests in flight when a stand-in stops.
@@ -28,10 +28,15 @@
 	if err != nil {
 		return fault.Wrap(fault.KindInvalidSettings, err, "reading settings")
 	}
-	if err := yaml.UnmarshalWithOptions(data, v, yaml.Strict()); err != nil {
-		return fault.New(fault.KindInvalidSettings, "%s: %s", path, yaml.FormatError(err, false, true))
+	_, problems := strictyaml.Decode(path, data, v)
+	if len(problems) == 0 {
+		return nil
 	}
-	return nil
+	texts := make([]string, len(problems))
+	for i, p := range problems {
+		texts[i] = p.String()
+	}
+	return fault.New(fault.KindInvalidSettings, "%s", strings.Join(texts, "\n"))
 }
 
 // Listen opens a TCP listener on a loopback address such as "127.0.0.1:7400".
