Let the counted runs outlive the target's process

Cause: a killed target process takes its counts along, and a repeated run would be missed.

Weighed: a counting process beside the targets, which would be one more thing to fail, against a file to which each run is appended before it begins. What was written stays when the process is killed.

Change: the setting run_log of the target stand-ins, and run_logs of load.

Tests: the log counts the same as the recorder.

--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/standin/exchange"
-	"github.com/jacinthramp/jacinthramp/pkg/standin/target"
 )
 
 // Run sends the load that s describes and reports on it. When ctx ends, no
@@ -25,14 +20,8 @@
 	}
 	col := NewCollector()
 	Send(ctx, s, col)
-	if len(s.TargetControls) == 0 {
-		return col.Report(nil), nil
-	}
-	runs, err := readRuns(context.WithoutCancel(ctx), s.TargetControls)
-	if err != nil {
-		return col.Report(nil), err
-	}
-	return col.Report(&runs), nil
+	runs, err := readRuns(context.WithoutCancel(ctx), s)
+	return col.Report(runs), err
 }
 
 // Send sends the load that s describes, whose defaults are filled in, and
@@ -104,36 +93,3 @@
 	}
 	return n - 1
 }
-
-// readRuns reads and adds up the runs that target stand-ins counted.
-func readRuns(ctx context.Context, controls []string) (target.Runs, error) {
-	ctx, cancel := context.WithTimeout(ctx, DefaultDeadline)
-	defer cancel()
-	var total target.Runs
-	for _, address := range controls {
-		runs, err := readRunsOf(ctx, address)
-		if err != nil {
-			return target.Runs{}, fault.Wrap(fault.KindPeerUnavailable, err, "reading the counted runs of %s", address)
-		}
-		total.Merge(runs)
-	}
-	return total, nil
-}
-
-func readRunsOf(ctx context.Context, address string) (target.Runs, error) {
-	var runs target.Runs
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+target.PathRuns, nil)
-	if err != nil {
-		return runs, err
-	}
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return runs, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return runs, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return runs, json.NewDecoder(resp.Body).Decode(&runs)
-}
--- a/pkg/load/settings.go
+++ b/pkg/load/settings.go
@@ -22,6 +22,9 @@
 	// which the counted runs are read at the end. Default none: repeated runs
 	// are then not counted.
 	TargetControls []string `yaml:"target_controls"`
+	// RunLogs are files of runs that target stand-ins wrote, read at the end in
+	// place of TargetControls. Default none.
+	RunLogs []string `yaml:"run_logs"`
 	// Rate is the number of requests a second. Default 100, at most MaxRate.
 	Rate float64 `yaml:"rate"`
 	// Duration is how long requests are sent. Default 10s, at most MaxDuration.
--- a/pkg/standin/target/control_test.go
+++ b/pkg/standin/target/control_test.go
@@ -13,7 +13,7 @@
 )
 
 func TestControlsActOnTheNamedTarget(t *testing.T) {
-	g := NewGroup([]Config{{Name: "a", Address: "127.0.0.1:0"}, {Name: "b", Address: "127.0.0.1:0"}})
+	g := NewGroup([]Config{{Name: "a", Address: "127.0.0.1:0"}, {Name: "b", Address: "127.0.0.1:0"}}, NewRecorder(nil))
 	if err := g.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/standin/target/group.go
+++ b/pkg/standin/target/group.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"os"
 	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/standin"
 )
 
@@ -23,9 +26,10 @@
 	background conc.WaitGroup
 }
 
-// NewGroup returns the targets of configs, which do not listen yet.
-func NewGroup(configs []Config) *Group {
-	g := &Group{recorder: NewRecorder()}
+// NewGroup returns the targets of configs, which do not listen yet and report
+// their runs to rec.
+func NewGroup(configs []Config, rec *Recorder) *Group {
+	g := &Group{recorder: rec}
 	for _, c := range configs {
 		g.targets = append(g.targets, New(c, g.recorder))
 	}
@@ -84,7 +88,12 @@
 // Run serves the targets and their controls until ctx is done, then drains.
 // It calls started once everything listens.
 func Run(ctx context.Context, s Settings, started func()) error {
-	g := NewGroup(s.Targets)
+	log, err := openRunLog(s.RunLog)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	g := NewGroup(s.Targets, NewRecorder(log))
 	if err := g.Start(); err != nil {
 		return err
 	}
@@ -107,3 +116,16 @@
 	wg.Wait()
 	return errors.Join(drained, served)
 }
+
+// openRunLog opens the file at path for appending. Without a path what is
+// written is dropped.
+func openRunLog(path string) (io.WriteCloser, error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fault.Wrap(fault.KindInvalidSettings, err, "run_log")
+	}
+	return f, nil
+}
--- a/pkg/standin/target/recorder.go
+++ b/pkg/standin/target/recorder.go
@@ -1,16 +1,27 @@
 package target
 
 import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"sync"
 )
 
 // Recorder counts the runs of requests over any number of targets. It
-// outlives crashes of the targets.
+// outlives crashes of the targets; its log outlives the process.
 type Recorder struct {
 	mu    sync.Mutex
 	total int
 	once  map[string]int
+	log   io.Writer
+}
+
+// loggedRun is one line of the log of runs.
+type loggedRun struct {
+	Nonce string `json:"nonce"`
+	Once  bool   `json:"once,omitempty"`
 }
 
 // Runs is what a Recorder has counted.
@@ -21,13 +32,20 @@
 	Once map[string]int `json:"once"`
 }
 
-// NewRecorder returns a Recorder that has counted nothing.
-func NewRecorder() *Recorder { return &Recorder{once: map[string]int{}} }
+// NewRecorder returns a Recorder that has counted nothing. With a log, each
+// run is written to it as one JSON line before it begins.
+func NewRecorder(log io.Writer) *Recorder { return &Recorder{once: map[string]int{}, log: log} }
 
 // add counts one run.
 func (r *Recorder) add(nonce string, once bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.log != nil {
+		// A run that can't be logged would be missed by the check: end loudly.
+		if err := json.NewEncoder(r.log).Encode(loggedRun{Nonce: nonce, Once: once}); err != nil {
+			panic(fmt.Errorf("writing the log of runs: %w", err))
+		}
+	}
 	r.total++
 	if once {
 		r.once[nonce]++
@@ -60,3 +78,20 @@
 	}
 	return n
 }
+
+// ReadLog counts the runs of a log.
+func ReadLog(log io.Reader) (Runs, error) {
+	runs := Runs{Once: map[string]int{}}
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		var run loggedRun
+		if err := json.Unmarshal(lines.Bytes(), &run); err != nil {
+			return runs, fmt.Errorf("log of runs, line %d: %w", runs.Total+1, err)
+		}
+		runs.Total++
+		if run.Once {
+			runs.Once[run.Nonce]++
+		}
+	}
+	return runs, lines.Err()
+}
--- a/pkg/standin/target/settings.go
+++ b/pkg/standin/target/settings.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	// Control is the loopback address of the controls. Default DefaultControl.
 	Control string `yaml:"control"`
+	// RunLog is a file to which every run is appended, so that the count
+	// outlives the process. Default none.
+	RunLog string `yaml:"run_log"`
 	// Targets are the targets of this process. Required, at least one.
 	Targets []Config `yaml:"targets"`
 }
--- a/pkg/standin/target/target_test.go
+++ b/pkg/standin/target/target_test.go
@@ -1,8 +1,10 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"reflect"
 	"strconv"
 	"testing"
 	"time"
@@ -22,12 +24,14 @@
 	url    string
 	client *http.Client
 	nonces int
+	log    *bytes.Buffer
 }
 
 func newBench(t *testing.T, c Config) *bench {
 	t.Helper()
+	var log bytes.Buffer
 	c.Name, c.Address = "t", "127.0.0.1:0"
-	rec := NewRecorder()
+	rec := NewRecorder(&log)
 	tg := New(c, rec)
 	addr, err := tg.Start()
 	if err != nil {
@@ -38,7 +42,7 @@
 		client.CloseIdleConnections()
 		tg.Close()
 	})
-	return &bench{t: t, target: tg, rec: rec, url: "http://" + addr, client: client}
+	return &bench{t: t, target: tg, rec: rec, url: "http://" + addr, client: client, log: &log}
 }
 
 // sent describes the next request.
@@ -103,6 +107,10 @@
 	if runs.Total != 3 || runs.Once[s.Nonce] != 2 || runs.Duplicates() != 1 {
 		t.Fatalf("runs: %+v", runs)
 	}
+	logged, err := ReadLog(b.log)
+	if err != nil || !reflect.DeepEqual(logged, runs) {
+		t.Fatalf("logged runs: %+v, %v", logged, err)
+	}
 }
 
 func TestFullQueueSheds(t *testing.T) {
