--- /dev/null
+++ b/pkg/table/rapid_test.go
@@ -0,0 +1,223 @@
+package table
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "3")
+	_ = flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+// genDuration draws a time span, or zero for the default.
+func genDuration() *rapid.Generator[Duration] {
+	return rapid.Custom(func(t *rapid.T) Duration {
+		return Duration(rapid.IntRange(0, 100).Draw(t, "tenths")) * Duration(100*time.Millisecond)
+	})
+}
+
+// genTables draws valid tables.
+func genTables() *rapid.Generator[*Tables] {
+	return rapid.Custom(func(t *rapid.T) *Tables {
+		tb := &Tables{Version: rapid.Uint64().Draw(t, "version")}
+		for i := range rapid.IntRange(1, 3).Draw(t, "regions") {
+			tb.Regions = append(tb.Regions, Region{
+				Name:  fmt.Sprintf("region-%d", i),
+				Limit: rapid.IntRange(0, 50).Draw(t, "limit"),
+			})
+		}
+		for i := range rapid.IntRange(1, 4).Draw(t, "pools") {
+			tb.Pools = append(tb.Pools, genPool(t, tb, i))
+		}
+		for i := range rapid.IntRange(0, 4).Draw(t, "routes") {
+			tb.Routes = append(tb.Routes, genRoute(t, tb, i))
+		}
+		return tb
+	})
+}
+
+func genPool(t *rapid.T, tb *Tables, i int) Pool {
+	region := rapid.SampledFrom(tb.Regions).Draw(t, "region").Name
+	p := Pool{
+		Name:        fmt.Sprintf("pool.%d", i),
+		Region:      region,
+		ShiftCap:    rapid.SampledFrom([]float64{0, 0.05, 0.25, 1}).Draw(t, "cap"),
+		ShiftWindow: genDuration().Draw(t, "window"),
+		Drain:       rapid.Bool().Draw(t, "drain"),
+	}
+	for j := range rapid.IntRange(1, 3).Draw(t, "targets") {
+		p.Targets = append(p.Targets, Target{
+			Name:    fmt.Sprintf("target_%d_%d", i, j),
+			Address: rapid.SampledFrom([]string{"10.0.%d.%d:80", "[fd00::%d:%d]:8080"}).Draw(t, "address"),
+			Zone:    region + rapid.SampledFrom([]string{"-a", "-b"}).Draw(t, "zone"),
+			Slots:   rapid.IntRange(1, 9).Draw(t, "slots"),
+			Drain:   rapid.Bool().Draw(t, "target drain"),
+		})
+		p.Targets[j].Address = fmt.Sprintf(p.Targets[j].Address, i, j+1)
+	}
+	return p
+}
+
+func genRoute(t *rapid.T, tb *Tables, i int) Route {
+	r := Route{
+		Name:        fmt.Sprintf("route-%d", i),
+		Host:        rapid.SampledFrom([]string{"", "ledger.example", "123"}).Draw(t, "host"),
+		PathPrefix:  fmt.Sprintf("/p%d", i),
+		Idempotency: rapid.SampledFrom([]Idempotency{"", IdempotentNever, IdempotentAlways}).Draw(t, "idempotency"),
+		Priority:    rapid.SampledFrom([]Priority{"", PriorityHigh, PriorityLow}).Draw(t, "priority"),
+		Timeout:     genDuration().Draw(t, "timeout"),
+	}
+	for j, p := range tb.Pools {
+		if j == 0 || rapid.Bool().Draw(t, "names the pool") {
+			r.Pools = append(r.Pools, PoolWeight{Pool: p.Name, Weight: rapid.IntRange(0, 5).Draw(t, "weight")})
+		}
+	}
+	r.Pools[0].Weight++
+	return r
+}
+
+// reparse writes the tables as files and reads them again.
+func reparse(tb *Tables) (*Tables, error) {
+	routes, err := FormatRoutes(tb)
+	if err != nil {
+		return nil, err
+	}
+	pools, err := FormatPools(tb)
+	if err != nil {
+		return nil, err
+	}
+	p, err := Parse(&Source{"routes", routes}, &Source{"pools", pools}, &Tables{})
+	if err != nil {
+		return nil, err
+	}
+	return p.Tables, p.Check()
+}
+
+// same reports whether two tables hold the same rows.
+func same(a, b *Tables) bool {
+	return a.Version == b.Version && reflect.DeepEqual(noNil(a), noNil(b))
+}
+
+// noNil returns a's rows with an empty list in place of none.
+func noNil(a *Tables) [3]any {
+	return [3]any{append([]Route{}, a.Routes...), append([]Pool{}, a.Pools...), append([]Region{}, a.Regions...)}
+}
+
+func TestWrittenTablesAreReadBackTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tb := genTables().Draw(t, "tables")
+		got, err := reparse(tb)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !same(tb, got) {
+			t.Fatalf("wrote %+v\nread %+v", tb, got)
+		}
+	})
+}
+
+func TestDefaultsChangeNothingThatIsSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tb := genTables().Draw(t, "tables")
+		full := tb.WithDefaults()
+		if err := full.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		if cs := Diff(tb, full); len(cs) != 0 {
+			t.Fatalf("changes = %v", cs)
+		}
+		if again := full.WithDefaults(); !reflect.DeepEqual(again, full) {
+			t.Fatal("defaults are not filled in one pass")
+		}
+	})
+}
+
+func TestDiffNamesExactlyWhatChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old := genTables().Draw(t, "tables")
+		next := old.Clone()
+		i := rapid.IntRange(0, len(next.Pools)-1).Draw(t, "pool")
+		p := &next.Pools[i]
+		p.Targets[0].Drain = !p.Targets[0].Drain
+		want := fmt.Sprintf("pool %s target %s: drain changed from %v to %v", p.Name, p.Targets[0].Name, !p.Targets[0].Drain, p.Targets[0].Drain)
+		cs := Diff(old, next)
+		if len(cs) != 1 || cs[0].String() != want {
+			t.Fatalf("changes = %v, want %s", cs, want)
+		}
+		if len(Diff(next, next)) != 0 {
+			t.Fatal("tables differ from themselves")
+		}
+	})
+}
+
+// breakages each make valid tables invalid in one field.
+var breakages = map[string]func(*Tables) (row, field string){
+	"name twice": func(tb *Tables) (string, string) {
+		tb.Pools = append(tb.Pools, Pool{Name: tb.Pools[0].Name, Region: tb.Regions[0].Name, Targets: []Target{{Name: "new", Address: "10.9.9.9:1", Zone: "new", Slots: 1}}})
+		return "pool " + tb.Pools[0].Name, "name"
+	},
+	"slots": func(tb *Tables) (string, string) {
+		tb.Pools[0].Targets[0].Slots = 0
+		return poolField(tb, "targets[0].slots")
+	},
+	"address": func(tb *Tables) (string, string) {
+		tb.Pools[0].Targets[0].Address = "a:1"
+		return poolField(tb, "targets[0].address")
+	},
+	"shift cap":  func(tb *Tables) (string, string) { tb.Pools[0].ShiftCap = 1.01; return poolField(tb, "shift_cap") },
+	"region":     func(tb *Tables) (string, string) { tb.Pools[0].Region = "nowhere"; return poolField(tb, "region") },
+	"no targets": func(tb *Tables) (string, string) { tb.Pools[0].Targets = nil; return poolField(tb, "targets") },
+}
+
+func poolField(tb *Tables, field string) (string, string) { return "pool " + tb.Pools[0].Name, field }
+
+func TestOneBrokenFieldIsNamed(t *testing.T) {
+	for name, breakIt := range breakages {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				tb := genTables().Draw(t, "tables")
+				row, field := breakIt(tb)
+				for _, p := range tb.Problems() {
+					if p.Row == row && p.Field == field {
+						return
+					}
+				}
+				t.Fatalf("%s %s is not among %v", row, field, tb.Problems())
+			})
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodRoutes), []byte(goodPools))
+	f.Add([]byte("version: &a 1\nroutes: *a"), []byte("{version: 1, pools: [{}], regions: }"))
+	f.Add([]byte("- \n? a\n: b"), []byte("version: 1e99\n--- \n"))
+	f.Fuzz(func(t *testing.T, routes, pools []byte) {
+		p, err := Parse(&Source{"routes", routes}, &Source{"pools", pools}, &Tables{})
+		if err != nil || p.Check() != nil {
+			return
+		}
+		got, err := reparse(p.Tables)
+		if err != nil || !same(got, p.Tables) {
+			t.Fatalf("%v: read %+v\nthen %+v", err, p.Tables, got)
+		}
+	})
+}
+
+func TestProblemsOfFormAreNotLostInLargeFiles(t *testing.T) {
+	big := goodRoutes + strings.Repeat("#", MaxFileBytes)
+	ps := problems(t, big, goodPools)
+	if len(ps) != 1 || !strings.Contains(ps[0].Message, "larger than") {
+		t.Fatalf("problems = %v", ps)
+	}
+}
