--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -6,6 +6,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		standinCommand(),
+		loadCommand(),
 		validateCommand(),
 		planCommand(),
 		applyCommand(),
