--- /dev/null
+++ b/pkg/decision/plan/plan_test.go
@@ -0,0 +1,63 @@
+package plan
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+// twoPools has one route over pools a and b with the given weights.
+func twoPools(a, b int) *table.Tables {
+	pool := func(name, address string) table.Pool {
+		return table.Pool{Name: name, Region: "osrednja", Targets: []table.Target{
+			{Name: name + "1", Address: address, Zone: "osrednja-a", Slots: 4},
+		}}
+	}
+	return &table.Tables{
+		Version: 1, AcceptedAt: now.Add(-time.Hour),
+		Routes: []table.Route{{Name: "feedlog", Pools: []table.PoolWeight{{Pool: "a", Weight: a}, {Pool: "b", Weight: b}}}},
+		Pools:  []table.Pool{pool("a", "10.0.0.1:1"), pool("b", "10.0.0.2:1")}, Regions: []table.Region{{Name: "osrednja"}},
+	}
+}
+
+func TestMoveTakesTheTimeOfItsShiftCap(t *testing.T) {
+	p := Of(twoPools(100, 0), twoPools(50, 50), now)
+	if len(p.Moves) != 1 {
+		t.Fatalf("moves = %v", p.Moves)
+	}
+	m := p.Moves[0]
+	// The cap is 0.1 in 10 s, so that a half takes at least 40 s: the first
+	// window may hold its whole rise at its end.
+	if m.From != "a" || m.To != "b" || math.Abs(m.Share-0.5) > 1e-6 || m.Seconds < 40 || m.Seconds > 100 {
+		t.Fatalf("move = %+v", m)
+	}
+	if !strings.Contains(m.String(), "50.0% of the traffic moves from pool a to pool b") {
+		t.Fatal(m.String())
+	}
+}
+
+func TestPlanStartsFromTheSharesInForce(t *testing.T) {
+	old := twoPools(0, 100)
+	old.AcceptedAt = now
+	old.Shifts = []table.Shift{{Route: "feedlog", Pool: "a", Share: 1}, {Route: "feedlog", Pool: "b", Share: 0}}
+	if p := Of(old, twoPools(100, 0), now); len(p.Moves) != 0 {
+		t.Fatalf("a ramp that has not begun needs no move back: %v", p.Moves)
+	}
+}
+
+func TestRemovalsAndStrandedRoutesAreWarnedOf(t *testing.T) {
+	next := twoPools(1, 0)
+	next.Pools[0].Targets[0].Name = "other"
+	next.Pools[0].Drain = true
+	ws := strings.Join(Of(twoPools(1, 0), next, now).Warnings, "\n")
+	for _, want := range []string{"route feedlog: no pool", "target a1 is removed without a drain"} {
+		if !strings.Contains(ws, want) {
+			t.Errorf("warnings lack %q:\n%s", want, ws)
+		}
+	}
+}
