Weigh zones by the wait there in place of free slots

Cause: hops needed a free slot in the last summary, so a loaded zone kept its queue while others had capacity. Weighed: counting hops since the summary (a stock where the capacity is a flow) against an estimate of the wait from queue, slots and own hops. Change: a zone costs its round trip and its expected wait.

--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -131,7 +131,7 @@
 	if s.waitAt != nil {
 		wait = min(wait, s.waitTime)
 	}
-	if z, cost := s.core.bestZone(p, s.r, s.nanos); z != nil && cost < wait {
+	if z, cost := s.core.bestZone(p, s.r, s.nanos); z != nil && cost < wait && s.inTime(cost) {
 		return s.chosen(pk, z.hop(p.name))
 	}
 	if d := s.here(p); d.Verdict == Dispatch {
@@ -145,6 +145,9 @@
 	return Decision{}
 }
 
+// inTime reports whether r can still be served after d.
+func (s *search) inTime(d time.Duration) bool { return d < s.r.Deadline.Sub(s.now) }
+
 // chosen gives back the meter of the pool that r would have waited for.
 func (s *search) chosen(pk *pick, d Decision) Decision {
 	if s.waitAt != nil && s.waitAt != pk {
@@ -173,8 +176,8 @@
 	return p.expectedWait(int(p.queued.Load()))
 }
 
-// hopAnyway passes r to the zone with the most headroom, be it none: the
-// instances there know better.
+// hopAnyway passes r to the zone of least cost, be that high: the instances
+// there know better.
 func (s *search) hopAnyway(pk *pick) Decision {
 	z, _ := s.core.bestZone(pk.pool, s.r, s.nanos)
 	if z == nil {
@@ -199,7 +202,6 @@
 // hop counts a hop to z and returns its decision.
 func (z *zone) hop(poolName string) Decision {
 	z.inFlight.Add(1)
-	z.sent.Add(1)
 	return Decision{Verdict: Hop, Pool: poolName, Zone: z.name, zone: z.zoneStats}
 }
 
--- a/pkg/decision/steer/pool.go
+++ b/pkg/decision/steer/pool.go
@@ -64,16 +64,16 @@
 	}
 }
 
-// cheapestZone returns the least cost of an open zone with headroom.
+// cheapestZone returns the least cost of an open zone.
 func (p *pool) cheapestZone(now int64) (time.Duration, bool) {
 	found := false
 	var least time.Duration
 	local := p.service.Value(priorService)
 	for _, z := range p.zones {
-		if !z.open(now) || z.headroom(now) < 1 {
+		if !z.open(now) {
 			continue
 		}
-		if cost := z.cost(local); !found || cost < least {
+		if cost := z.cost(now, local); !found || cost < least {
 			least, found = cost, true
 		}
 	}
--- a/pkg/decision/steer/zone.go
+++ b/pkg/decision/steer/zone.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,8 @@
 	// summaryPart is the part of a reported headroom that one instance uses,
 	// since others see the same report.
 	summaryPart = 0.5
+	// othersFactor times the hops of this instance is taken to be sent by all.
+	othersFactor = 2
 	// unknownPart is the part of a zone's slots that is taken to be free when
 	// nothing is known.
 	unknownPart = 0.25
@@ -31,9 +32,9 @@
 	sameRegion bool
 	summary    atomic.Pointer[ZoneSummary]
 	summaryAt  atomic.Int64
-	// sent counts the hops since the last summary.
-	sent     atomic.Int64
-	inFlight atomic.Int64
+	inFlight   atomic.Int64
+	// counted is the part of inFlight that the last summary knew of.
+	counted  atomic.Int64
 	rtt      choice.Mean
 	health   choice.Health
 	pausedTo atomic.Int64
@@ -56,7 +57,7 @@
 	}
 	z.summary.Store(&sum)
 	z.summaryAt.Store(at)
-	z.sent.Store(0)
+	z.counted.Store(z.inFlight.Load())
 }
 
 // open reports whether hops to the zone are allowed at now.
@@ -64,16 +65,20 @@
 	return now >= z.pausedTo.Load() && !z.health.Ejected(now)
 }
 
-// headroom estimates how many more requests the zone can take at once.
-func (z *zone) headroom(now int64) float64 {
-	unknown := unknownPart*float64(z.slots) - float64(z.inFlight.Load())
+// backlog estimates how many requests wait in the zone; below zero it is the
+// number that it can take at once. A report is discounted by its age, and
+// raised by what this instance and, presumably, others have sent since.
+func (z *zone) backlog(now int64) float64 {
+	sent := float64(z.inFlight.Load())
+	unknown := sent - unknownPart*float64(z.slots)
 	sum := z.summary.Load()
 	if sum == nil {
 		return unknown
 	}
 	fresh := spill.Freshness(time.Duration(now - z.summaryAt.Load()))
-	free := summaryPart*float64(sum.Free-sum.Queued) - float64(z.sent.Load())
-	return fresh*free + (1-fresh)*unknown
+	sent -= float64(z.counted.Load())
+	known := float64(sum.Queued) - summaryPart*float64(sum.Free) + othersFactor*sent
+	return fresh*known + (1-fresh)*unknown
 }
 
 // roundTrip returns the time that a hop adds to the service time.
@@ -92,9 +97,12 @@
 	return fallback
 }
 
-// cost estimates what a hop to the zone costs beyond a free slot here.
-func (z *zone) cost(local time.Duration) time.Duration {
-	return z.roundTrip() + z.service(local) - local
+// cost estimates what a hop to the zone costs beyond a free slot here: the
+// round trip, the difference in service time and the wait there.
+func (z *zone) cost(now int64, local time.Duration) time.Duration {
+	service := z.service(local)
+	wait := max(0, z.backlog(now)) * float64(service) / float64(z.slots)
+	return z.roundTrip() + service - local + time.Duration(wait)
 }
 
 // finish takes in how a hop ended.
@@ -116,17 +124,17 @@
 	}
 }
 
-// bestZone returns the cheapest open zone that has headroom, and its cost.
-// Without one it returns the one with the most headroom, and math.MaxInt64.
-// Of many zones it looks at a random run of zoneProbes.
+// bestZone returns the open zone of least cost, or nil; of those that cost
+// about the same, the one with the least backlog for its size. Of many zones
+// it looks at a random run of zoneProbes.
 func (c *Core) bestZone(p *pool, r *Request, now int64) (*zone, time.Duration) {
 	n := len(p.zones)
 	if n == 0 {
-		return nil, 0
+		return nil, waitForever
 	}
-	var best, last *zone
-	bestCost := time.Duration(math.MaxInt64)
-	bestRoom, lastRoom := 0.0, math.Inf(-1)
+	var best *zone
+	bestCost := waitForever
+	bestLoad := 0.0
 	local := p.service.Value(priorService)
 	start := int(c.random() % uint64(n))
 	for i := range min(n, zoneProbes) {
@@ -134,21 +142,12 @@
 		if !z.open(now) || r.Excluded(z.name) {
 			continue
 		}
-		room := z.headroom(now)
-		if room > lastRoom {
-			last, lastRoom = z, room
-		}
-		if room < 1 {
-			continue
-		}
-		cost := z.cost(local)
+		cost := z.cost(now, local)
+		load := z.backlog(now) / float64(z.slots)
 		near := best != nil && cost < bestCost+bestCost/4 && bestCost < cost+cost/4
-		if best == nil || (near && room > bestRoom) || (!near && cost < bestCost) {
-			best, bestCost, bestRoom = z, cost, room
+		if best == nil || (near && load < bestLoad) || (!near && cost < bestCost) {
+			best, bestCost, bestLoad = z, cost, load
 		}
 	}
-	if best != nil {
-		return best, bestCost
-	}
-	return last, math.MaxInt64
+	return best, bestCost
 }
