Split limits into leased shares whose sum is conserved

Cause: the instances of a zone enforce one limit together, while any of them may be paused, cut off, dead or restarted and the store may be away.

Weighed: equal split by the instance list (views differ, so the sum is not conserved); transfers that change the row's record later (a reclaim of the giver would count the transferred part twice). Leases are renewed in the row, or while the store is away by promises of witnesses that the row names; a reclaimer needs the lapse and the consent of these witnesses.

--- /dev/null
+++ b/pkg/decision/allowance/limits.go
@@ -0,0 +1,123 @@
+// Package allowance splits each limit of an availability zone into integer
+// shares that the zone's instances hold under leases. The sum of the shares
+// that live, paused, cut-off and dead instances may use never exceeds the
+// limit. The package is pure: the time is an argument, and it does no I/O.
+//
+// The parts: Row is the zone's record in the platform's table and Plan makes
+// its next version; Ledger is what one holder may use; Witness gives promises
+// that stand in for the row while the store is down; Reclaimer decides when
+// a silent holder's shares may be given to others.
+package allowance
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Limit names one limit that is split into shares.
+type Limit string
+
+const (
+	targetPrefix = "target/"
+	regionPrefix = "region/"
+)
+
+// TargetLimit names the slots of a target.
+func TargetLimit(target string) Limit { return Limit(targetPrefix + target) }
+
+// RegionLimit names this zone's part of a region's limit.
+func RegionLimit(region string) Limit { return Limit(regionPrefix + region) }
+
+// Target returns the name of the target whose slots l is, and false when l
+// is no target's.
+func (l Limit) Target() (string, bool) { return strings.CutPrefix(string(l), targetPrefix) }
+
+// Region returns the name of the region whose limit l is, and false when l
+// is no region's.
+func (l Limit) Region() (string, bool) { return strings.CutPrefix(string(l), regionPrefix) }
+
+// Counts maps limits to a number of shares. A missing limit counts zero.
+type Counts map[Limit]int
+
+// Clone returns a copy of c, never nil.
+func (c Counts) Clone() Counts {
+	out := make(Counts, len(c))
+	for l, n := range c {
+		out[l] = n
+	}
+	return out
+}
+
+// Sorted returns the limits of c by name.
+func (c Counts) Sorted() []Limit {
+	ls := make([]Limit, 0, len(c))
+	for l := range c {
+		ls = append(ls, l)
+	}
+	sort.Slice(ls, func(i, j int) bool { return ls[i] < ls[j] })
+	return ls
+}
+
+// ZoneLimits returns the limits that the instances of zone enforce under t:
+// the slots of the zone's targets, and the zone's part of the limit of each
+// region that they belong to.
+func ZoneLimits(t *table.Tables, zone string) Counts {
+	limits := Counts{}
+	slots := map[string]map[string]int{}
+	for _, p := range t.Pools {
+		byZone := slots[p.Region]
+		if byZone == nil {
+			byZone = map[string]int{}
+			slots[p.Region] = byZone
+		}
+		for _, tg := range p.Targets {
+			byZone[tg.Zone] += tg.Slots
+			if tg.Zone == zone {
+				limits[TargetLimit(tg.Name)] = tg.Slots
+			}
+		}
+	}
+	for region, byZone := range slots {
+		if byZone[zone] > 0 {
+			limits[RegionLimit(region)] = splitRegion(regionLimit(t, region, byZone), byZone)[zone]
+		}
+	}
+	return limits
+}
+
+// regionLimit returns the region's declared limit, or the sum of its slots.
+func regionLimit(t *table.Tables, region string, slots map[string]int) int {
+	if r := t.Region(region); r != nil && r.Limit > 0 {
+		return r.Limit
+	}
+	sum := 0
+	for _, n := range slots {
+		sum += n
+	}
+	return sum
+}
+
+// splitRegion divides limit among the zones in proportion to their slots. The
+// remainder goes to the first zones by name, one each.
+func splitRegion(limit int, slots map[string]int) map[string]int {
+	zones := make([]string, 0, len(slots))
+	sum := 0
+	for z, n := range slots {
+		zones = append(zones, z)
+		sum += n
+	}
+	sort.Strings(zones)
+	parts := make(map[string]int, len(zones))
+	left := limit
+	for _, z := range zones {
+		parts[z] = limit * slots[z] / sum
+		left -= parts[z]
+	}
+	for i := 0; left > 0; i = (i + 1) % len(zones) {
+		parts[zones[i]]++
+		left--
+	}
+	return parts
+}
--- /dev/null
+++ b/pkg/decision/allowance/witness.go
@@ -0,0 +1,59 @@
+package allowance
+
+import "time"
+
+// Witness is the side of a holder that promises others not to help reclaim
+// their shares. It is not safe for concurrent use.
+type Witness struct {
+	self      Key
+	timing    Timing
+	promised  map[Key]time.Time
+	consented map[Key]uint64
+}
+
+// NewWitness returns a witness without promises.
+func NewWitness(self Key, timing Timing) *Witness {
+	return &Witness{self: self, timing: timing, promised: map[Key]time.Time{}, consented: map[Key]uint64{}}
+}
+
+// Promise answers a holder. Only a witness whose own lease lasts until
+// expires may promise, so that one whose shares are reclaimed promises no more.
+func (w *Witness) Promise(now, expires time.Time, p Promise) bool {
+	if p.Witness != w.self || !now.Before(expires) {
+		return false
+	}
+	if n, ok := w.consented[p.Holder]; ok && p.Renewal <= n {
+		return false
+	}
+	until := now.Add(w.timing.stretched(w.timing.Lease))
+	if until.After(w.promised[p.Holder]) {
+		w.promised[p.Holder] = until
+	}
+	return true
+}
+
+// Consent is what a reclaimer asks of a witness: to promise no more for the
+// holder whose newest recorded heartbeat is Renewal.
+type Consent struct {
+	Holder  Key    `json:"holder"`
+	Witness Key    `json:"witness"`
+	Renewal uint64 `json:"renewal"`
+}
+
+// Consent answers a reclaimer. It agrees once the last promise has lapsed.
+func (w *Witness) Consent(now time.Time, c Consent) bool {
+	if c.Witness != w.self || now.Before(w.promised[c.Holder]) {
+		return false
+	}
+	w.consented[c.Holder] = max(w.consented[c.Holder], c.Renewal)
+	return true
+}
+
+// Forget drops what is remembered of holders that are not in row any more.
+func (w *Witness) Forget(now time.Time, row *Row) {
+	for k, until := range w.promised {
+		if row.Holder(k) == nil && now.After(until) {
+			delete(w.promised, k)
+		}
+	}
+}
