--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -4,5 +4,17 @@
 
 // commands lists the subcommands, one constructor a line.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		standinCommand(),
+		loadCommand(),
+		validateCommand(),
+		planCommand(),
+		applyCommand(),
+		exportCommand(),
+		historyCommand(),
+		drainCommand(),
+		undrainCommand(),
+		watchCommand(),
+		explainCommand(),
+	}
 }
