--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -6,5 +6,15 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		standinCommand(),
+		loadCommand(),
+		validateCommand(),
+		planCommand(),
+		applyCommand(),
+		exportCommand(),
+		historyCommand(),
+		drainCommand(),
+		undrainCommand(),
+		watchCommand(),
+		explainCommand(),
 	}
 }
