Decide on resubmitted requests by the instance that their id names

Cause: a non-idempotent request that its caller submits again, also to another instance, must run at most once.

Weighed: claims in the platform's table cost two writes a request and stop in an outage; hashing over the live list fails when two views differ. The id names the instance and incarnation that may run it; all others pass it on or say "unknown".

New kind answer-gone (unknown) for a repeat whose answer was not kept, and the field Jacinthramp-Hop-Home for passing a repeat to its home.

--- a/pkg/fault/answers.go
+++ b/pkg/fault/answers.go
@@ -57,6 +57,7 @@
 	KindHopLost:       {Name: "hop-lost", Status: http.StatusBadGateway, Outcome: Unknown, Exit: ExitFailure},
 	KindCallerGone:    {Name: "caller-gone", Status: statusCallerGone, Outcome: Unknown, Exit: ExitFailure},
 	KindHomeGone:      {Name: "home-gone", Status: http.StatusConflict, Outcome: Unknown, Exit: ExitFailure},
+	KindAnswerGone:    {Name: "answer-gone", Status: http.StatusConflict, Outcome: Unknown, Exit: ExitFailure},
 
 	KindInvalidSettings:  {Name: "invalid-settings", Status: http.StatusBadRequest, Outcome: NotRun, Exit: ExitUsage},
 	KindInvalidTable:     {Name: "invalid-table", Status: http.StatusUnprocessableEntity, Outcome: NotRun, Exit: ExitUsage},
--- a/pkg/fault/kind.go
+++ b/pkg/fault/kind.go
@@ -58,6 +58,7 @@
 	KindHopLost
 	KindCallerGone
 	KindHomeGone
+	KindAnswerGone
 
 	// Between the system, the platform and the operators.
 	KindInvalidSettings
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -34,6 +34,9 @@
 	HeaderHopPool = "Jacinthramp-Hop-Pool"
 	// HeaderHopVersion is the table version the choice was made with.
 	HeaderHopVersion = "Jacinthramp-Hop-Version"
+	// HeaderHopHome is "true" on a repeat that is passed to the instance which
+	// its request id names. The other hop fields are then absent.
+	HeaderHopHome = "Jacinthramp-Hop-Home"
 )
 
 // Header fields from targets.
