Run a request with an id at most once over all instances

Cause: the registry of outcomes was not in the path yet.

Weighed: cancelling the target when the caller of an order goes away leaves its outcome unknown for good; the first run of a request with an id therefore goes on to its deadline, and the repeat joins it. Other requests are cancelled as before.

Change: the path keeps the first submission's outcome, gives repeats the recorded answer, lets them join a run, passes those with another home on over the hop listener, and says home-gone (unknown) when that incarnation can't be reached. A refusal that would say "not run" says "unknown" whenever an earlier submission of the id may have run: unknown route, no tables, bad fields, leaving. Look-up answers carry the id prefix of each incarnation. The poison fingerprint covers method, host, path, query and a body read whole.

Results: go test -race ./pkg/node: ok in 2.7 s, with repeats at the same and at another instance, joins after the caller has gone, a home that is not listed, restarted or unreachable: one run in each.

Conclusion: a repeat whose home is gone stays unknown; the caller must settle it with the service itself.

--- a/pkg/decision/lookup/lookup.go
+++ b/pkg/decision/lookup/lookup.go
@@ -17,6 +17,8 @@
 	Address string
 	Zone    string
 	Region  string
+	// Incarnation changes each time the instance starts.
+	Incarnation string
 	// IDPrefix starts the ids of requests first sent to the instance.
 	IDPrefix string
 	// Leaving instances are left out.
--- a/pkg/decision/outcome/registry.go
+++ b/pkg/decision/outcome/registry.go
@@ -127,6 +127,13 @@
 	return Verdict{Action: Run}
 }
 
+// Fresh reports whether id names this incarnation and has certainly not been
+// run, so that "not run" may be said of it.
+func (g *Registry) Fresh(now time.Time, id ID) bool {
+	_, known := g.records[id.String()]
+	return g.Names(id) && !known && now.Before(g.expiry(id))
+}
+
 // expiry returns when the record of id may go.
 func (g *Registry) expiry(id ID) time.Time { return id.Stamp.Add(g.limits.Validity) }
 
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
@@ -36,7 +37,7 @@
 	defer a.Close()
 	res.Latency = x.latencySince(start)
 	head := headOf(a.Answer)
-	first, err := readFirst(a.Answer, head)
+	first, err := x.readFirst(a.Answer, head)
 	if err != nil {
 		e := a.BodyError(x.ctx, err)
 		return fault.Wrap(target.Kind(e), e, "target %s", d.Target)
@@ -44,6 +45,7 @@
 	h := x.w.Header()
 	h.Set(wire.HeaderOutcome, string(fault.Completed))
 	h.Set(wire.HeaderTarget, d.Target)
+	x.keep(d.Target, head, first)
 	res.Kind = x.pass(a.Answer, head, first, isOwnField)
 	return nil
 }
@@ -68,10 +70,11 @@
 		return fault.WithRetryAfter(fault.New(a.Kind, "zone %s: %s", d.Zone, a.Kind), a.RetryAfter)
 	}
 	head := headOf(a.Answer)
-	first, err := readFirst(a.Answer, head)
+	first, err := x.readFirst(a.Answer, head)
 	if err != nil {
 		return fault.Wrap(fault.KindHopLost, err, "zone %s", d.Zone)
 	}
+	x.keep(a.Header.Get(wire.HeaderTarget), head, first)
 	res.Kind = x.pass(a.Answer, head, first, isInstanceField)
 	return nil
 }
@@ -89,25 +92,50 @@
 	return caller.Head{Status: a.StatusCode, Header: a.Header, Trailer: a.Trailer, Length: a.ContentLength}
 }
 
-// readFirst reads a small answer whole.
-func readFirst(a *upstream.Answer, head caller.Head) ([]byte, error) {
-	if head.Length <= 0 || head.Length > wholeAnswerBytes || a.Request.Method == http.MethodHead {
-		return nil, nil
+// firstPart is the start of an answer's body that has been read before its
+// header is passed on.
+type firstPart struct {
+	data []byte
+	// whole is set when data is the whole body.
+	whole bool
+}
+
+// readFirst reads a small answer whole. When the outcome is recorded, an
+// answer of unannounced length is read up to the bound as well.
+func (x *exchange) readFirst(a *upstream.Answer, head caller.Head) (firstPart, error) {
+	switch {
+	case head.Length == 0 || a.Request.Method == http.MethodHead:
+		return firstPart{whole: true}, nil
+	case head.Length > wholeAnswerBytes, head.Length < 0 && !x.record:
+		return firstPart{}, nil
+	case head.Length > 0:
+		buf := make([]byte, head.Length)
+		_, err := io.ReadFull(a.Body, buf)
+		return firstPart{buf, true}, err
 	}
-	buf := make([]byte, head.Length)
-	if _, err := io.ReadFull(a.Body, buf); err != nil {
-		return nil, err
+	data, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswerBytes+1))
+	return firstPart{data, len(data) <= wholeAnswerBytes}, err
+}
+
+// keep records a whole answer for repeats of the request; of a longer one
+// only the fact that it was given.
+func (x *exchange) keep(target string, head caller.Head, first firstPart) {
+	if !x.record {
+		return
+	}
+	x.result = outcome.Result{}
+	if first.whole {
+		x.recordAnswer(target, head, first.data)
 	}
-	return buf, nil
 }
 
 // pass gives the answer to the caller. When it breaks off after its header,
 // the connection to the caller is cut, so that the caller can tell.
-func (x *exchange) pass(a *upstream.Answer, head caller.Head, first []byte, skip func(string) bool) fault.Kind {
+func (x *exchange) pass(a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
 	x.relay.Final(head, skip)
 	var body io.Reader = a.Body
-	if first != nil {
-		body = io.MultiReader(bytes.NewReader(first), a.Body)
+	if len(first.data) > 0 {
+		body = io.MultiReader(bytes.NewReader(first.data), a.Body)
 	}
 	errRead, errWrite := x.relay.Body(body, head)
 	switch {
@@ -125,4 +153,6 @@
 func isOwnField(field string) bool { return strings.HasPrefix(field, "Jacinthramp-") }
 
 // isInstanceField reports whether field is set anew by each instance.
-func isInstanceField(field string) bool { return field == wire.HeaderInstance }
+func isInstanceField(field string) bool {
+	return field == wire.HeaderInstance || field == wire.HeaderRequestID
+}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
@@ -26,6 +27,14 @@
 	req   steer.Request
 	// broken is set when the answer ended before its whole body.
 	broken bool
+	// atHome is set on a repeat that another instance has passed here.
+	atHome bool
+	// record is set when the outcome must be kept in result.
+	record bool
+	// proven is set when the request has no id that is honoured, or the
+	// registry has said that this is its first submission.
+	proven bool
+	result outcome.Result
 }
 
 // errNoInstance is the cause when a zone has no instance to pass a request to.
@@ -33,13 +42,9 @@
 
 // run brings the request to its answer.
 func (x *exchange) run() {
-	body, err := upstream.NewBody(x.in, x.req.Route.MaxBody)
-	if err != nil {
-		x.refuse(bodyRefusal(err))
+	if !x.takeBody() {
 		return
 	}
-	x.body = body
-	x.req.BodyBytes = body.Length()
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
 		return x.relay.Interim(code, h)
 	}}
@@ -61,6 +66,19 @@
 	}
 }
 
+// takeBody prepares the request's body, or refuses it.
+func (x *exchange) takeBody() bool {
+	body, err := upstream.NewBody(x.in, x.req.Route.MaxBody)
+	if err != nil {
+		x.refuse(bodyRefusal(err))
+		return false
+	}
+	x.body = body
+	x.req.BodyBytes = body.Length()
+	x.req.Fingerprint = fingerprint(x.in, body)
+	return true
+}
+
 // bodyRefusal answers for a body that could not be read before the dispatch.
 func bodyRefusal(err error) caller.Refusal {
 	if errors.Is(err, upstream.ErrBodyTooLarge) {
@@ -132,5 +150,9 @@
 // refuse answers in the system's own name.
 func (x *exchange) refuse(f caller.Refusal) {
 	x.relay.Seal()
+	if !x.proven {
+		f = x.node.honest(f, x.in)
+	}
+	x.result = outcome.Result{Kind: f.Kind}
 	f.Write(x.w)
 }
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
@@ -42,7 +43,7 @@
 	v := n.view.Load()
 	route, f := n.admit(v, r)
 	if f != nil {
-		f.Write(w)
+		n.honest(*f, r).Write(w)
 		return
 	}
 	n.runExchange(w, r, v, route, "")
@@ -51,8 +52,6 @@
 // admit matches the route of a caller's request, or refuses it.
 func (n *Node) admit(v *view, r *http.Request) (*table.Route, *caller.Refusal) {
 	switch {
-	case n.refusesWork():
-		return nil, &caller.Refusal{Kind: fault.KindLeaving}
 	case r.Method == http.MethodConnect:
 		return nil, &caller.Refusal{Kind: fault.KindBadRequest, Message: "CONNECT is not served"}
 	case v.tables.Version == 0:
@@ -68,15 +67,15 @@
 // serveHop serves a request that another instance has matched already.
 func (n *Node) serveHop(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(wire.HeaderInstance, n.self.ID)
+	if hop.IsHome(r.Header) {
+		n.serveRepeat(w, r)
+		return
+	}
 	ch, err := hop.ReadChoice(r)
 	if err != nil {
 		caller.RefusalOf(err).Write(w)
 		return
 	}
-	if n.refusesWork() {
-		caller.Refusal{Kind: fault.KindHopRefused, Message: "the instance is leaving"}.Write(w)
-		return
-	}
 	v := n.view.Load()
 	route := v.tables.Route(ch.Route)
 	if route == nil || v.tables.Pool(ch.Pool) == nil {
@@ -87,19 +86,29 @@
 	n.runExchange(w, r, v, route, ch.Pool)
 }
 
+// serveRepeat serves a repeat that another instance has passed to its home.
+func (n *Node) serveRepeat(w http.ResponseWriter, r *http.Request) {
+	v := n.view.Load()
+	route := v.matcher.Match(r.Host, r.URL.Path)
+	if route == nil {
+		caller.Refusal{Kind: fault.KindHomeGone, Message: "the route of the request is gone"}.Write(w)
+		return
+	}
+	n.runExchange(w, r, v, route, "")
+}
+
 // runExchange serves r on route; pool is set when it has been chosen already.
 func (n *Node) runExchange(w http.ResponseWriter, r *http.Request, v *view, route *table.Route, pool string) {
 	now := n.now()
 	fields, err := caller.ReadFields(r.Header)
 	if err != nil {
-		caller.RefusalOf(err).Write(w)
+		n.honest(caller.RefusalOf(err), r).Write(w)
 		return
 	}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	if pool == "" {
-		dropHopFields(r.Header)
-	}
+	atHome := hop.IsHome(r.Header)
+	dropHopFields(r.Header)
 	deadline := now.Add(route.Timeout.Std())
 	if fields.Deadline > 0 {
 		deadline = minTime(deadline, now.Add(fields.Deadline))
@@ -107,7 +116,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	x := &exchange{
-		node: n, view: v, w: w, in: r, ctx: ctx, relay: caller.NewRelay(w),
+		node: n, view: v, atHome: atHome, w: w, in: r, ctx: ctx, relay: caller.NewRelay(w),
 		req: steer.Request{
 			Route:      route,
 			Pool:       pool,
@@ -118,12 +127,50 @@
 		},
 	}
 	x.guardCaller()
-	x.run()
+	x.serve(fields.ID)
 	if x.broken {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// serve runs a request whose repeats must not run through the registry.
+func (x *exchange) serve(text string) {
+	if text == "" || x.req.Idempotent || x.req.Pool != "" {
+		x.proven = true
+		x.runNew()
+		return
+	}
+	id, err := outcome.Parse(text)
+	if err != nil {
+		x.refuse(caller.RefusalOf(err))
+		return
+	}
+	x.runOnce(id)
+}
+
+// runNew runs a request that is not a repeat, unless the instance is leaving.
+func (x *exchange) runNew() {
+	if !x.node.refusesWork() {
+		x.run()
+		return
+	}
+	kind := fault.KindLeaving
+	if x.req.Pool != "" {
+		kind = fault.KindHopRefused
+	}
+	x.refuse(caller.Refusal{Kind: kind, Message: "the instance is leaving"})
+}
+
+// honest returns f, or "unknown" in its place when f says that the request
+// was not run and an earlier submission of it may have been.
+func (n *Node) honest(f caller.Refusal, r *http.Request) caller.Refusal {
+	text := r.Header.Get(wire.HeaderRequestID)
+	if f.Kind.Answer().Outcome != fault.NotRun || text == "" || n.repeats.fresh(n.now(), text) {
+		return f
+	}
+	return caller.Refusal{Kind: fault.KindHomeGone, Message: f.Kind.String() + ": " + f.Message}
+}
+
 // guardCaller bounds reading from and writing to the caller by the deadline,
 // and lets an answer begin before the request's body has ended.
 func (x *exchange) guardCaller() {
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
@@ -32,7 +33,19 @@
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	at := lookup.Place{Zone: n.self.Zone, Region: n.self.Region}
-	writeJSON(w, lookup.Answer(v.tables.Version, route, at, v.lookups, rnd))
+	writeJSON(w, lookup.Answer(v.tables.Version, route, at, n.stamped(v.lookups), rnd))
+}
+
+// stamped returns the instances with the id prefixes of now.
+func (n *Node) stamped(ins []lookup.Instance) []lookup.Instance {
+	now := n.repeats.clock(n.now())
+	out := make([]lookup.Instance, len(ins))
+	for i, in := range ins {
+		in.IDPrefix = outcome.Prefix(in.ID, in.Incarnation, now)
+		in.Leaving = in.Leaving || (in.ID == n.self.ID && n.leaving())
+		out[i] = in
+	}
+	return out
 }
 
 // lookupRoute returns the route that a look-up asks for, or nil.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,6 +48,7 @@
 	core      *steer.Core
 	dialer    *upstream.Dialer
 	waiters   *waiters
+	repeats   *repeats
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
 	inFlight  atomic.Int64
@@ -69,6 +70,7 @@
 		core:      steer.New(place, rand.NewPCG(c.Seed, c.Seed^uint64(len(c.Self.ID)))),
 		dialer:    upstream.NewDialer(upstream.Options{DialTimeout: c.Settings.Limits.DialTimeout.Std()}),
 		waiters:   newWaiters(),
+		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
 	n.stage.Store(stageServing)
--- /dev/null
+++ b/pkg/node/repeats_test.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// orderID returns an id of a request first sent to m, as a caller makes it.
+func orderID(t *testing.T, m *member, suffix string) string {
+	t.Helper()
+	_, body := get(t, m.url()+wire.PathLookup+"?route=feedlog")
+	var a wire.LookupAnswer
+	if err := json.Unmarshal([]byte(body), &a); err != nil {
+		t.Fatal(err)
+	}
+	for _, in := range a.Instances {
+		if in.ID == m.self.ID {
+			return in.IDPrefix + suffix
+		}
+	}
+	t.Fatalf("%s is not in its own answer", m.self.ID)
+	return ""
+}
+
+// order submits the order with id to m.
+func order(ctx context.Context, m *member, id string) (*http.Response, string, error) {
+	r, err := http.NewRequestWithContext(ctx, "POST", m.url()+"/feedlog/orders", strings.NewReader("tiles"))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Header.Set(wire.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// pair runs two instances of one zone before a target that serves h.
+func pair(t *testing.T, h http.HandlerFunc) (a, b *member) {
+	t.Helper()
+	tables := oneTarget(startTarget(t, h), "osrednja-a")
+	a, b = startMember(t, "a-1", "osrednja-a"), startMember(t, "a-2", "osrednja-a")
+	a.run(t, tables, a.self, b.self)
+	b.run(t, tables, a.self, b.self)
+	return a, b
+}
+
+// counted answers each run with its number.
+func counted(runs *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Order", "kept")
+		fmt.Fprint(w, "run ", runs.Add(1))
+	}
+}
+
+func TestRepeatGetsTheRecordedAnswerEverywhere(t *testing.T) {
+	var runs atomic.Int32
+	a, b := pair(t, counted(&runs))
+	id := orderID(t, a, "o-1")
+	for _, m := range []*member{a, a, b, b, a} {
+		resp, body, err := order(t.Context(), m, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body != "run 1" || resp.Header.Get("X-Order") != "kept" || resp.Header.Get(wire.HeaderOutcome) != "completed" {
+			t.Errorf("at %s: %q %v", m.self.ID, body, resp.Header)
+		}
+		if got := resp.Header.Values(wire.HeaderRequestID); len(got) != 1 || got[0] != id {
+			t.Errorf("at %s: id %v", m.self.ID, got)
+		}
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestRepeatJoinsTheRunThatOutlivesItsCaller(t *testing.T) {
+	var runs atomic.Int32
+	started, release := make(chan struct{}), make(chan struct{})
+	a, b := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		runs.Add(1)
+		close(started)
+		<-release
+		io.WriteString(w, "sent")
+	})
+	id := orderID(t, a, "o-1")
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		order(ctx, a, id)
+		close(gone)
+	}()
+	<-started
+	cancel()
+	<-gone
+	answers := make(chan string, 2)
+	for _, m := range []*member{a, b} {
+		go func() {
+			_, body, _ := order(t.Context(), m, id)
+			answers <- body
+		}()
+	}
+	for a.inFlight.Load() < 3 {
+		runtime.Gosched() // until the first run and both repeats are at their home
+	}
+	close(release)
+	for range 2 {
+		if body := <-answers; body != "sent" {
+			t.Errorf("repeat got %q", body)
+		}
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestRepeatIsUnknownWhenItsHomeIsGone(t *testing.T) {
+	var runs atomic.Int32
+	a, b := pair(t, counted(&runs))
+	id := orderID(t, a, "o-1")
+	if _, _, err := order(t.Context(), a, id); err != nil {
+		t.Fatal(err)
+	}
+	restarted := a.self
+	restarted.Incarnation = "i2"
+	unreachable := a.self
+	unreachable.HopAddress = "127.0.0.1:1"
+	for name, list := range map[string][]platform.Instance{
+		"not listed":  {b.self},
+		"restarted":   {restarted, b.self},
+		"unreachable": {unreachable, b.self},
+	} {
+		b.cluster.list.Store(&list)
+		b.takeNews()
+		resp, _, err := order(t.Context(), b, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Header.Get(wire.HeaderKind) != "home-gone" || resp.Header.Get(wire.HeaderOutcome) != "unknown" {
+			t.Errorf("%s: %v", name, resp.Header)
+		}
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestNotRunIsNeverSaidOfARequestThatRan refuses repeats in every way that
+// says "not run" of a new request.
+func TestNotRunIsNeverSaidOfARequestThatRan(t *testing.T) {
+	var runs atomic.Int32
+	a, b := pair(t, counted(&runs))
+	id := orderID(t, a, "o-1")
+	if _, _, err := order(t.Context(), a, id); err != nil {
+		t.Fatal(err)
+	}
+	submit := func(m *member, path, field, value string) *http.Response {
+		r, _ := http.NewRequest("POST", m.url()+path, strings.NewReader("tiles"))
+		r.Header.Set(wire.HeaderRequestID, id)
+		r.Header.Set(field, value)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp
+	}
+	check := func(name string, resp *http.Response) {
+		if o := resp.Header.Get(wire.HeaderOutcome); o == "not-run" {
+			t.Errorf("%s: outcome %q, kind %q", name, o, resp.Header.Get(wire.HeaderKind))
+		}
+	}
+	for _, m := range []*member{a, b} {
+		check("unknown route", submit(m, "/gone", "X", ""))
+		check("bad field", submit(m, "/feedlog/orders", wire.HeaderDeadlineMS, "soon"))
+		m.stage.Store(stageRefusing)
+		check("leaving", submit(m, "/feedlog/orders", "X", ""))
+		m.view.Store(emptyView())
+		check("no tables", submit(m, "/feedlog/orders", "X", ""))
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestMalformedIDIsRefused(t *testing.T) {
+	var runs atomic.Int32
+	a, _ := pair(t, counted(&runs))
+	resp, _, err := order(t.Context(), a, "not.an.id")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Header.Get(wire.HeaderKind) != "bad-request-id" || runs.Load() != 0 {
+		t.Errorf("%v, %d runs", resp.Header, runs.Load())
+	}
+}
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
@@ -18,12 +16,17 @@
 	targets map[string]*target.Client
 	// hops has the instances that requests can be passed to, by zone.
 	hops map[string][]*hop.Client
+	// homes has the listed instances by incarnation, for repeats.
+	homes map[home]*hop.Client
 	// lookups are the instances that look-up answers may name.
 	lookups []lookup.Instance
 	// list is what lookups and hops were built from.
 	list []platform.Instance
 }
 
+// home identifies one incarnation of an instance.
+type home struct{ instance, incarnation string }
+
 // hopConnections bounds the connections to one other instance.
 const hopConnections = 256
 
@@ -45,7 +48,8 @@
 	next.targets = n.targetClients(old, next.tables)
 	if !sameList(list, old.list) {
 		next.list = list
-		next.hops = n.hopClients(old, list)
+		next.homes = n.homeClients(old, list)
+		next.hops = n.hopClients(next.homes, list)
 		next.lookups = n.lookupInstances(list)
 	}
 	n.view.Store(&next)
@@ -92,25 +96,32 @@
 	return count
 }
 
-// hopClients returns the clients of the other zones' instances that are not
-// leaving, with the unchanged ones of old.
-func (n *Node) hopClients(old *view, list []platform.Instance) map[string][]*hop.Client {
-	byAddress := make(map[string]*hop.Client)
-	for _, cs := range old.hops {
-		for _, c := range cs {
-			byAddress[c.Address()] = c
-		}
-	}
-	next := make(map[string][]*hop.Client)
+// homeClients returns the clients of all other listed instances, with the
+// unchanged ones of old.
+func (n *Node) homeClients(old *view, list []platform.Instance) map[home]*hop.Client {
+	next := make(map[home]*hop.Client)
 	for _, in := range list {
-		if in.Zone == n.self.Zone || in.Leaving {
+		if in.ID == n.self.ID {
 			continue
 		}
-		c, ok := byAddress[in.HopAddress]
-		if !ok {
+		key := home{in.ID, in.Incarnation}
+		c, ok := old.homes[key]
+		if !ok || c.Address() != in.HopAddress {
 			c = hop.New(n.dialer, in.ID, in.HopAddress, hopConnections)
 		}
-		next[in.Zone] = append(next[in.Zone], c)
+		next[key] = c
+	}
+	return next
+}
+
+// hopClients returns the clients of the other zones' instances that are not
+// leaving.
+func (n *Node) hopClients(homes map[home]*hop.Client, list []platform.Instance) map[string][]*hop.Client {
+	next := make(map[string][]*hop.Client)
+	for _, in := range list {
+		if c, ok := homes[home{in.ID, in.Incarnation}]; ok && in.Zone != n.self.Zone && !in.Leaving {
+			next[in.Zone] = append(next[in.Zone], c)
+		}
 	}
 	return next
 }
@@ -120,7 +131,8 @@
 	out := make([]lookup.Instance, 0, len(list))
 	for _, in := range list {
 		out = append(out, lookup.Instance{
-			ID: in.ID, Address: in.CallerAddress, Zone: in.Zone, Region: in.Region, Leaving: in.Leaving,
+			ID: in.ID, Address: in.CallerAddress, Zone: in.Zone, Region: in.Region,
+			Incarnation: in.Incarnation, Leaving: in.Leaving,
 		})
 	}
 	return out
@@ -128,25 +140,14 @@
 
 // closeGone closes the clients of old that next no longer has.
 func closeGone(old, next *view) {
-	kept := make(map[any]bool)
-	for _, c := range next.targets {
-		kept[c] = true
-	}
-	for _, cs := range next.hops {
-		for _, c := range cs {
-			kept[c] = true
-		}
-	}
-	for c := range maps.Values(old.targets) {
-		if !kept[c] {
+	for name, c := range old.targets {
+		if next.targets[name] != c {
 			c.Close()
 		}
 	}
-	for _, cs := range old.hops {
-		for _, c := range cs {
-			if !kept[c] {
-				c.Close()
-			}
+	for key, c := range old.homes {
+		if next.homes[key] != c {
+			c.Close()
 		}
 	}
 }
--- a/pkg/peer/hop/hop.go
+++ b/pkg/peer/hop/hop.go
@@ -72,6 +72,24 @@
 	return &Answer{Answer: a, Kind: kind, RetryAfter: time.Duration(ms) * time.Millisecond}, nil
 }
 
+// SendHome passes a repeat to the instance that its request id names.
+func (c *Client) SendHome(ctx context.Context, in *http.Request, body *upstream.Body, idempotent bool, deadline time.Time) (*Answer, error) {
+	out := upstream.NewRequest(in, c.pool.Address(), body, nil)
+	left := max(time.Until(deadline).Milliseconds(), 1)
+	out.Header[wire.HeaderHopHome] = []string{"true"}
+	out.Header[wire.HeaderIdempotent] = []string{strconv.FormatBool(idempotent)}
+	out.Header[wire.HeaderDeadlineMS] = []string{strconv.FormatInt(left, 10)}
+	a, err := c.pool.Send(ctx, out)
+	if err != nil {
+		e := upstream.AsError(err)
+		return nil, fault.Wrap(kindOf(e), e, "instance %s", c.instance)
+	}
+	return &Answer{Answer: a}, nil
+}
+
+// IsHome reports whether h is of a repeat passed to its home.
+func IsHome(h http.Header) bool { return h.Get(wire.HeaderHopHome) == "true" }
+
 func setChoice(h http.Header, ch Choice) {
 	left := max(time.Until(ch.Deadline).Milliseconds(), 1)
 	h[wire.HeaderHopRoute] = []string{ch.Route}
--- a/pkg/peer/upstream/body.go
+++ b/pkg/peer/upstream/body.go
@@ -91,3 +91,6 @@
 
 // failed reports whether the source failed.
 func (a *attempt) failed() bool { return a.broken.Load() }
+
+// Buffered returns the body when it has been read whole, else nil.
+func (b *Body) Buffered() []byte { return b.buffered }
