Keep requests off connections that have gone silent

Cause: something between two ends can lose track of open connections; a request on one of them ends as unknown although a new connection would do.

Weighed: a probe of an idle connection before each request costs about 6 ms at today's targets, a new connection about 1 ms. So an idle connection whose last answer is older than 2 s is replaced rather than probed, for every kind of request. Killing requests in flight on a retired generation was ruled out: a slow target looks the same from here.

Change: pkg/decision/conngen numbers connections by generation. A request without a byte of its answer for 500 ms puts its generation in doubt; when a newer connection answers meanwhile, the older ones in doubt are retired. The pool follows it. The server's full duplex mode is now used for streamed bodies only, and closes the caller's connection when the body was not read to its end: a refused POST could otherwise be followed by a connection error (seen once in TestRepeatIsUnknownWhenItsHomeIsGone).

Pool tests with real sockets: no request fails after 10 s of silence, and none of 6 while one connection is silent.

Conclusion: a silence that begins within the last 2 s still costs the requests sent into it.

--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -132,6 +132,7 @@
 // pass gives the answer to the caller. When it breaks off after its header,
 // the connection to the caller is cut, so that the caller can tell.
 func (x *exchange) pass(a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
+	x.closeUnread()
 	x.relay.Final(head, skip)
 	var body io.Reader = a.Body
 	if len(first.data) > 0 {
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -74,6 +74,10 @@
 		return false
 	}
 	x.body = body
+	if body.Streams() {
+		// Lets the answer begin before the body has ended.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
 	x.req.BodyBytes = body.Length()
 	x.req.Fingerprint = fingerprint(x.in, body)
 	return true
@@ -147,6 +151,14 @@
 // latencySince is the time to the first byte of the answer.
 func (x *exchange) latencySince(start time.Time) time.Duration { return x.node.now().Sub(start) }
 
+// closeUnread ends the caller's connection after the answer when the body of
+// its request has not been read to its end.
+func (x *exchange) closeUnread() {
+	if x.body != nil && x.body.Streams() && !x.body.Ended() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // refuse answers in the system's own name.
 func (x *exchange) refuse(f caller.Refusal) {
 	x.relay.Seal()
@@ -154,5 +166,6 @@
 		f = x.node.honest(f, x.in)
 	}
 	x.result = outcome.Result{Kind: f.Kind}
+	x.closeUnread()
 	f.Write(x.w)
 }
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -171,12 +171,10 @@
 	return caller.Refusal{Kind: fault.KindHomeGone, Message: f.Kind.String() + ": " + f.Message}
 }
 
-// guardCaller bounds reading from and writing to the caller by the deadline,
-// and lets an answer begin before the request's body has ended.
+// guardCaller bounds reading from and writing to the caller by the deadline.
 func (x *exchange) guardCaller() {
 	rc := http.NewResponseController(x.w)
-	// A connection without deadlines or full duplex is served without them.
-	_ = rc.EnableFullDuplex()
+	// A connection that knows no deadlines is served without them.
 	_ = rc.SetReadDeadline(x.req.Deadline.Add(callerGrace))
 	_ = rc.SetWriteDeadline(x.req.Deadline.Add(callerGrace))
 }
--- a/pkg/peer/upstream/body.go
+++ b/pkg/peer/upstream/body.go
@@ -22,6 +22,7 @@
 	source   io.ReadCloser
 	buffered []byte
 	started  atomic.Bool
+	ended    atomic.Bool
 }
 
 // NewBody takes over the body of r, of at most limit bytes. A small body of
@@ -48,6 +49,12 @@
 // Length returns the announced length, or -1.
 func (b *Body) Length() int64 { return b.length }
 
+// Streams reports whether the body is passed on while it is being read.
+func (b *Body) Streams() bool { return b.length != 0 && b.buffered == nil }
+
+// Ended reports whether a body that streams has been read to its end.
+func (b *Body) Ended() bool { return b.ended.Load() }
+
 // Replayable reports whether another attempt can send the whole body.
 func (b *Body) Replayable() bool {
 	return b.length == 0 || b.buffered != nil || !b.started.Load()
@@ -80,6 +87,9 @@
 		a.broken.Store(true)
 		return 0, ErrBodyTooLarge
 	}
+	if err == io.EOF {
+		a.body.ended.Store(true)
+	}
 	if err != nil && err != io.EOF {
 		a.broken.Store(true)
 	}
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -3,81 +3,24 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
-)
 
-// Options configures the connections.
-type Options struct {
-	// DialTimeout bounds the opening of a connection. Default 1s.
-	DialTimeout time.Duration
-	// MaxAnswerHeaderBytes bounds the header of an answer. Default 256 KiB.
-	MaxAnswerHeaderBytes int64
-	// ContinueTimeout bounds the wait for "100 Continue" when the request
-	// expects it. Default 1s.
-	ContinueTimeout time.Duration
-}
-
-const (
-	defaultDialTimeout          = time.Second
-	defaultMaxAnswerHeaderBytes = 256 << 10
-	defaultContinueTimeout      = time.Second
-	// transferBufferBytes is the size of the read and write buffers of one connection.
-	transferBufferBytes = 8 << 10
+	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
 )
 
-// Dialer opens the connections of any number of pools.
-type Dialer struct {
-	transport *http.Transport
-	timeout   time.Duration
-}
-
-// wireKey carries the place for the dialed connection through a context.
-type wireKey struct{}
-
-// NewDialer returns a Dialer with the given options.
-func NewDialer(o Options) *Dialer {
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = defaultDialTimeout
-	}
-	if o.MaxAnswerHeaderBytes <= 0 {
-		o.MaxAnswerHeaderBytes = defaultMaxAnswerHeaderBytes
-	}
-	if o.ContinueTimeout <= 0 {
-		o.ContinueTimeout = defaultContinueTimeout
-	}
-	d := &net.Dialer{Timeout: o.DialTimeout}
-	t := &http.Transport{
-		DisableCompression:     true,
-		ExpectContinueTimeout:  o.ContinueTimeout,
-		MaxResponseHeaderBytes: o.MaxAnswerHeaderBytes,
-		ReadBufferSize:         transferBufferBytes,
-		WriteBufferSize:        transferBufferBytes,
-		Protocols:              new(http.Protocols),
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			w := &wireConn{Conn: c}
-			if place, ok := ctx.Value(wireKey{}).(**wireConn); ok {
-				*place = w
-			}
-			return w, nil
-		},
-	}
-	t.Protocols.SetHTTP1(true)
-	return &Dialer{transport: t, timeout: o.DialTimeout}
-}
-
 // conn is one connection of a pool.
 type conn struct {
-	client *http.ClientConn
-	wire   *wireConn
+	client     *http.ClientConn
+	wire       *wireConn
+	generation conngen.Generation
 	// answered is the time of the last complete answer.
 	answered time.Time
+	// sent is when the present request was sent.
+	sent time.Time
+	// silent is set once the present request has been noted as silent.
+	silent bool
 }
 
 // open dials address.
@@ -104,11 +47,13 @@
 	address string
 	dialer  *Dialer
 
-	mu     sync.Mutex
-	limit  int
-	open   int
-	idle   []*conn
-	closed bool
+	mu      sync.Mutex
+	limit   int
+	open    int
+	idle    []*conn
+	busy    map[*conn]struct{}
+	tracker *conngen.Tracker
+	closed  bool
 }
 
 // errFull is the cause of a Full failure.
@@ -119,7 +64,10 @@
 
 // NewPool returns a pool of at most limit connections to address.
 func NewPool(d *Dialer, address string, limit int) *Pool {
-	return &Pool{address: address, dialer: d, limit: limit}
+	return &Pool{
+		address: address, dialer: d, limit: limit,
+		busy: make(map[*conn]struct{}), tracker: conngen.New(d.limits),
+	}
 }
 
 // Address returns the address of the other end.
@@ -157,17 +105,25 @@
 	}
 }
 
-// get returns an idle connection or a new one.
+// get returns a connection for a request that is about to be sent: an idle
+// one that is not in doubt, or a new one.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
-	c, err := p.take()
-	if c != nil || err != nil {
-		return c, err
-	}
-	c, err = p.dialer.open(ctx, p.address)
+	c, g, err := p.take()
 	if err != nil {
-		p.forget(1)
-		return nil, dialError(ctx, err)
+		return nil, err
 	}
+	if c == nil {
+		if c, err = p.dialer.open(ctx, p.address); err != nil {
+			p.forget()
+			return nil, dialError(ctx, err)
+		}
+		c.generation = g
+	}
+	c.wire.begin()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.sent, c.silent = p.dialer.now(), false
+	p.busy[c] = struct{}{}
 	return c, nil
 }
 
@@ -183,37 +139,50 @@
 }
 
 // take returns the idle connection used last, or nil after having reserved
-// the place of a new one.
-func (p *Pool) take() (*conn, error) {
+// the place of a new one with its generation. Doubtful ones are closed.
+func (p *Pool) take() (*conn, conngen.Generation, error) {
 	var dead []*conn
 	defer func() { closeAll(dead) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, &Error{Reason: Refused, Err: errClosed}
+		return nil, 0, &Error{Reason: Refused, Err: errClosed}
 	}
+	now := p.dialer.now()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		if c.reusable() {
-			return c, nil
+		if c.reusable() && p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+			return c, 0, nil
 		}
 		p.open--
 		dead = append(dead, c)
 	}
 	if p.open >= p.limit {
-		return nil, &Error{Reason: Full, Err: errFull}
+		return nil, 0, &Error{Reason: Full, Err: errFull}
 	}
 	p.open++
-	return nil, nil
+	return nil, p.tracker.Open(), nil
+}
+
+// heard notes that the answer to c's request has begun.
+func (p *Pool) heard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.silent {
+		c.silent = false
+		p.tracker.Resumed(c.generation)
+	}
+	p.tracker.Answered(c.generation)
 }
 
 // put takes c back after an exchange. A connection that can't be used again
 // is closed.
-func (p *Pool) put(c *conn, answered time.Time) {
-	c.answered = answered
+func (p *Pool) put(c *conn) {
 	p.mu.Lock()
-	keep := !p.closed && p.open <= p.limit && c.client.Available() > 0
+	delete(p.busy, c)
+	c.answered = p.dialer.now()
+	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && c.client.Available() > 0
 	if keep {
 		p.idle = append(p.idle, c)
 	} else {
@@ -228,12 +197,46 @@
 // drop closes c after a failure.
 func (p *Pool) drop(c *conn) {
 	c.client.Close()
-	p.forget(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, c)
+	p.open--
+	if c.silent {
+		p.tracker.Ended(c.generation)
+	}
 }
 
-// forget lowers the count of open connections.
-func (p *Pool) forget(n int) {
+// forget gives back the place of a connection that was not opened.
+func (p *Pool) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open -= n
+	p.open--
+}
+
+// Sweep notes the requests that wait in silence and closes the idle
+// connections in doubt. It is to be called several times within the time
+// after which a connection counts as silent.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	now := p.dialer.now()
+	for c := range p.busy {
+		if !c.silent && !c.wire.read.Load() && p.tracker.IsSilent(now.Sub(c.sent)) {
+			c.silent = true
+			p.tracker.Silent(c.generation)
+		}
+	}
+	var dead []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+			kept = append(kept, c)
+		} else {
+			dead = append(dead, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.open -= len(dead)
+	p.mu.Unlock()
+	closeAll(dead)
 }
--- /dev/null
+++ b/pkg/peer/upstream/pool_test.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// server answers each request on its connections, until its connections of
+// the present moment are made silent.
+type server struct {
+	ln     net.Listener
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	conns  []net.Conn
+	silent map[net.Conn]bool
+	opened atomic.Int32
+}
+
+func startServer(t *testing.T) *server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{ln: ln, silent: make(map[net.Conn]bool)}
+	s.wg.Go(s.accept)
+	t.Cleanup(func() {
+		ln.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+		s.mu.Unlock()
+		s.wg.Wait()
+	})
+	return s
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.opened.Add(1)
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
+		s.wg.Go(func() { s.serve(c) })
+	}
+}
+
+func (s *server) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		silent := s.silent[c]
+		s.mu.Unlock()
+		if !silent {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+// silence makes the present connections silent for good.
+func (s *server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		s.silent[c] = true
+	}
+}
+
+// clock is a time that a test moves.
+type clock struct{ offset atomic.Int64 }
+
+func (c *clock) now() time.Time { return time.Unix(1_900_000_000, c.offset.Load()) }
+
+func (c *clock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
+func newTestPool(t *testing.T, s *server, limit int) (*Pool, *clock) {
+	t.Helper()
+	c := &clock{}
+	p := NewPool(NewDialer(Options{Now: c.now}), s.ln.Addr().String(), limit)
+	t.Cleanup(p.Close)
+	return p, c
+}
+
+// send makes one request and reads its answer.
+func send(ctx context.Context, p *Pool) error {
+	r, err := http.NewRequest("GET", "http://"+p.Address()+"/", nil)
+	if err != nil {
+		return err
+	}
+	a, err := p.Send(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer a.Close()
+	_, err = io.ReadAll(a.Body)
+	return err
+}
+
+// settle waits until the idle connections wait for their next answer.
+func settle(p *Pool) {
+	for {
+		p.mu.Lock()
+		ready := true
+		for _, c := range p.idle {
+			ready = ready && c.wire.waiting.Load()
+		}
+		p.mu.Unlock()
+		if ready {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestConnectionIsReusedWhileFresh(t *testing.T) {
+	s := startServer(t)
+	p, c := newTestPool(t, s, 4)
+	for range 5 {
+		if err := send(t.Context(), p); err != nil {
+			t.Fatal(err)
+		}
+		settle(p)
+		c.advance(time.Second)
+	}
+	if n := s.opened.Load(); n != 1 {
+		t.Errorf("opened %d connections, want 1", n)
+	}
+}
+
+func TestSilentIdleConnectionGetsNoRequest(t *testing.T) {
+	s := startServer(t)
+	p, c := newTestPool(t, s, 4)
+	if err := send(t.Context(), p); err != nil {
+		t.Fatal(err)
+	}
+	settle(p)
+	s.silence()
+	c.advance(10 * time.Second)
+	if err := send(t.Context(), p); err != nil {
+		t.Errorf("after the silence: %v", err)
+	}
+	if p.Open() != 1 {
+		t.Errorf("%d connections are open, want 1", p.Open())
+	}
+}
+
+func TestSilenceRetiresTheOldConnections(t *testing.T) {
+	s := startServer(t)
+	p, c := newTestPool(t, s, 8)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { send(t.Context(), p) })
+	}
+	wg.Wait()
+	settle(p)
+	s.silence()
+	ctx, cancel := context.WithCancel(t.Context())
+	lost := make(chan error, 1)
+	go func() { lost <- send(ctx, p) }()
+	for {
+		p.mu.Lock()
+		busy := len(p.busy)
+		p.mu.Unlock()
+		if busy == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.advance(600 * time.Millisecond)
+	p.Sweep()
+	for range 6 {
+		if err := send(t.Context(), p); err != nil {
+			t.Errorf("while one connection is silent: %v", err)
+		}
+	}
+	cancel()
+	if e := AsError(<-lost); e.Reason != Canceled || !e.Sent {
+		t.Errorf("the silent request: %v", e)
+	}
+}
+
+func TestPoolKeepsToItsLimit(t *testing.T) {
+	s := startServer(t)
+	p, _ := newTestPool(t, s, 1)
+	r, _ := http.NewRequest("GET", "http://"+p.Address()+"/", nil)
+	a, err := p.Send(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := AsError(send(t.Context(), p)); e.Reason != Full || e.Sent {
+		t.Errorf("beyond the limit: %v", e)
+	}
+	io.Copy(io.Discard, a.Body)
+	a.Close()
+	if err := send(t.Context(), p); err != nil {
+		t.Errorf("after the release: %v", err)
+	}
+}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // Answer is the answer of the other end. Close must be called once.
@@ -27,13 +26,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c.wire.begin()
 	resp, err := c.client.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		sent, read := c.wire.wrote.Load(), c.wire.read.Load()
 		p.drop(c)
 		return nil, &Error{Reason: reasonOf(ctx, r, err, read), Sent: sent, Err: err}
 	}
+	p.heard(c)
 	return &Answer{Response: resp, pool: p, conn: c}, nil
 }
 
@@ -64,7 +63,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		a.Body.Close()
-		a.pool.put(a.conn, time.Now())
+		a.pool.put(a.conn)
 	})
 }
 
