Watch targets' health and load, and take leaving ones out at the first sign

Cause: the decisions got no reports, and a target that is leaving got new work.

Weighed: a probe on a connection of its own would say nothing about those that carry requests; probes share the pool and so its bound on connections.

Change: each instance probes its zone's targets every 500 ms, spread by a fifth, at most 16 at a time; the report and the leaving field of any answer go to the decisions. A healthy target without a readable load report is left to age instead of being called unhealthy. The time from the first sign to the end of the last request in flight is measured for each target. A planned stop of the instance waits out the longest time to live of the look-up answers, and tells callers to close their connections once it refuses work.

--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -158,6 +158,7 @@
 	if x.req.Pool != "" {
 		kind = fault.KindHopRefused
 	}
+	x.w.Header().Set("Connection", "close")
 	x.refuse(caller.Refusal{Kind: kind, Message: "the instance is leaving"})
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -49,6 +49,7 @@
 	dialer    *upstream.Dialer
 	waiters   *waiters
 	repeats   *repeats
+	drains    *drains
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
 	inFlight  atomic.Int64
@@ -73,6 +74,7 @@
 		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
+	n.drains = newDrains(n.recordDrain)
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -90,6 +92,8 @@
 	wg.Go(func() { n.runCluster(background) })
 	wg.Go(func() { n.follow(background) })
 	wg.Go(func() { n.tick(background) })
+	wg.Go(func() { n.probe(background) })
+	wg.Go(func() { n.sweep(background) })
 	err := n.serve(ctx)
 	stop()
 	wg.Wait()
@@ -147,6 +151,11 @@
 	}
 }
 
+// recordDrain reports that a leaving target is empty.
+func (n *Node) recordDrain(name string, took time.Duration) {
+	n.log.Info("target drained", zap.String("target", name), zap.Duration("took", took))
+}
+
 // closeClients closes every idle connection.
 func (n *Node) closeClients() {
 	v := n.view.Load()
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -62,6 +62,7 @@
 	t.Helper()
 	s := settings.Default()
 	s.Leave.MinLookupTTL = settings.Duration(20 * time.Millisecond)
+	s.Probe.Interval = settings.Duration(20 * time.Millisecond)
 	var ls Listeners
 	for _, p := range []*net.Listener{&ls.Caller, &ls.Hop, &ls.Admin} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -88,6 +89,7 @@
 		m.cluster.list.Store(&list)
 	}
 	m.takeNews()
+	m.takeNews() // a second one changes nothing
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	go func() { m.done <- m.Run(ctx) }()
@@ -105,7 +107,7 @@
 func oneTarget(address, zone string) *table.Tables {
 	return &table.Tables{
 		Version: 1,
-		Routes:  []table.Route{{Name: "feedlog", PathPrefix: "/feedlog", Pools: []table.PoolWeight{{Pool: "feedlog-osrednja", Weight: 1}}}},
+		Routes:  []table.Route{{Name: "feedlog", PathPrefix: "/feedlog", Pools: []table.PoolWeight{{Pool: "feedlog-osrednja", Weight: 1}}, LookupTTL: table.Duration(20 * time.Millisecond)}},
 		Pools: []table.Pool{{
 			Name: "feedlog-osrednja", Region: "osrednja", ShiftCap: 1,
 			Targets: []table.Target{{Name: "t1", Address: address, Zone: zone, Slots: 8}},
@@ -114,8 +116,22 @@
 	}
 }
 
-// startTarget serves h until the test ends.
+// startTarget serves h until the test ends, beside a target's own endpoints.
 func startTarget(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	return startBare(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case wire.PathTargetHealth:
+		case wire.PathTargetLoad:
+			writeJSON(w, wire.TargetLoad{Slots: 8, Incarnation: "t"})
+		default:
+			h(w, r)
+		}
+	})
+}
+
+// startBare serves h until the test ends.
+func startBare(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
--- /dev/null
+++ b/pkg/node/probe.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/target"
+)
+
+const (
+	// maxProbes bounds the probes at one time.
+	maxProbes = 16
+	// sweepInterval is the time between two looks for silent connections.
+	sweepInterval = 100 * time.Millisecond
+	// probeSpread is the part of the interval by which a round is moved, so
+	// that instances don't probe together.
+	probeSpread = 0.2
+)
+
+// probe watches the zone's targets until ctx ends.
+func (n *Node) probe(ctx context.Context) {
+	interval := n.settings.Probe.Interval.Std()
+	for {
+		n.probeAll(ctx)
+		spread := 1 - probeSpread*rand.Float64()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(float64(interval) * spread)):
+		}
+	}
+}
+
+// probeAll probes each target once.
+func (n *Node) probeAll(ctx context.Context) {
+	p := pool.New().WithMaxGoroutines(maxProbes)
+	for _, c := range n.view.Load().targets {
+		p.Go(func() { n.probeOne(ctx, c) })
+	}
+	p.Wait()
+}
+
+// probeOne brings what c says about itself into the decisions.
+func (n *Node) probeOne(ctx context.Context, c *target.Client) {
+	at := n.now()
+	call, cancel := context.WithTimeout(ctx, n.settings.Probe.Timeout.Std())
+	defer cancel()
+	rep := c.Probe(call)
+	if ctx.Err() != nil {
+		return
+	}
+	n.drains.observe(at, c, rep.Leaving)
+	if rep.Healthy && !rep.LoadKnown && !rep.Leaving {
+		return
+	}
+	n.core.ObserveLoad(at, steer.LoadReport{
+		Target:      c.Name(),
+		At:          at,
+		InFlight:    rep.Load.InFlight,
+		Slots:       rep.Load.Slots,
+		Queued:      rep.Load.Queued,
+		Leaving:     rep.Leaving,
+		Healthy:     rep.Healthy,
+		Incarnation: rep.Load.Incarnation,
+	})
+}
+
+// sweep looks for silent connections until ctx ends.
+func (n *Node) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		v := n.view.Load()
+		for _, c := range v.targets {
+			c.Pool().Sweep()
+		}
+		for _, c := range v.homes {
+			c.Sweep()
+		}
+		n.drains.sweep(n.now())
+	}
+}
--- /dev/null
+++ b/pkg/node/probe_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// leaver is a target that can begin to leave.
+type leaver struct {
+	leaving atomic.Bool
+	runs    atomic.Int32
+	// probed counts the load reports given out since it began to leave.
+	probed atomic.Int32
+}
+
+func (l *leaver) serve(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case wire.PathTargetHealth:
+	case wire.PathTargetLoad:
+		left := l.leaving.Load()
+		writeJSON(w, wire.TargetLoad{Slots: 8, Leaving: left, Incarnation: "t"})
+		if left {
+			l.probed.Add(1)
+		}
+	default:
+		l.runs.Add(1)
+		io.WriteString(w, "ok")
+	}
+}
+
+// twoTargets returns tables with two targets of one pool.
+func twoTargets(a, b string) *table.Tables {
+	t := oneTarget(a, "osrednja-a")
+	t.Pools[0].Targets = append(t.Pools[0].Targets, table.Target{Name: "t2", Address: b, Zone: "osrednja-a", Slots: 8})
+	return t
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	var a, b leaver
+	m := startMember(t, "a-1", "osrednja-a")
+	m.run(t, twoTargets(startBare(t, a.serve), startBare(t, b.serve)))
+	for a.runs.Load() == 0 {
+		get(t, m.url()+"/feedlog")
+	}
+	a.leaving.Store(true)
+	for a.probed.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	before := a.runs.Load()
+	for range 20 {
+		if resp, _ := get(t, m.url()+"/feedlog"); resp.Header.Get(wire.HeaderOutcome) != "completed" {
+			t.Errorf("header = %v", resp.Header)
+		}
+	}
+	if n := a.runs.Load(); n != before {
+		t.Errorf("the leaving target ran %d more requests", n-before)
+	}
+}
+
+func TestLeavingFieldOfAnAnswerStopsNewWork(t *testing.T) {
+	var b leaver
+	var runs atomic.Int32
+	first := startTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set(wire.HeaderTargetLeaving, "true")
+		w.Header().Set(wire.HeaderTargetShed, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	m := startMember(t, "a-1", "osrednja-a")
+	m.run(t, twoTargets(first, startTarget(t, b.serve)))
+	for range 20 {
+		r, _ := http.NewRequest("POST", m.url()+"/feedlog", http.NoBody)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.Header.Get(wire.HeaderOutcome) != "completed" {
+			t.Errorf("a request that was shed without being run: %v", resp.Header)
+		}
+	}
+	if n := runs.Load(); n > 3 {
+		t.Errorf("the leaving target got %d requests after its first sign", n)
+	}
+}
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -96,7 +96,7 @@
 	n.stage.Store(stageLeaving)
 	n.log.Info("leaving")
 	n.call("announce leaving", n.cluster.Leave)
-	time.Sleep(n.settings.Leave.MinLookupTTL.Std())
+	time.Sleep(n.lookupTTL())
 	n.stage.Store(stageRefusing)
 	for n.inFlight.Load() > 0 {
 		time.Sleep(leavePoll)
@@ -105,6 +105,16 @@
 	n.log.Info("left")
 }
 
+// lookupTTL returns the longest time for which a look-up answer that names
+// this instance may be used.
+func (n *Node) lookupTTL() time.Duration {
+	longest := n.settings.Leave.MinLookupTTL.Std()
+	for i := range n.view.Load().tables.Routes {
+		longest = max(longest, n.view.Load().tables.Routes[i].LookupTTL.Std())
+	}
+	return longest
+}
+
 // leavePoll is the time between two looks at what is in flight.
 const leavePoll = 5 * time.Millisecond
 
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -53,6 +53,7 @@
 		next.lookups = n.lookupInstances(list)
 	}
 	n.view.Store(&next)
+	n.drains.forget(next.targets)
 	closeGone(old, &next)
 }
 
--- a/pkg/peer/hop/hop.go
+++ b/pkg/peer/hop/hop.go
@@ -45,6 +45,9 @@
 // Close closes the connections as they become idle.
 func (c *Client) Close() { c.pool.Close() }
 
+// Sweep looks for silent connections; see upstream.Pool.Sweep.
+func (c *Client) Sweep() { c.pool.Sweep() }
+
 // Answer is the other instance's answer.
 type Answer struct {
 	*upstream.Answer
--- /dev/null
+++ b/pkg/peer/target/probe.go
@@ -0,0 +1,71 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 64 << 10
+
+// Report is what a probe has learnt.
+type Report struct {
+	// Healthy is true when the health endpoint answered with a success.
+	Healthy bool
+	// Load is the target's own report; LoadKnown is false without one.
+	Load      wire.TargetLoad
+	LoadKnown bool
+	// Leaving is true when either endpoint says that the target is leaving.
+	Leaving bool
+}
+
+// Probe asks for the target's health and load.
+func (c *Client) Probe(ctx context.Context) Report {
+	var rep Report
+	health, _, err := c.ask(ctx, wire.PathTargetHealth)
+	if err != nil {
+		return rep
+	}
+	rep.Healthy = health.status < http.StatusMultipleChoices
+	rep.Leaving = health.leaving
+	load, body, err := c.ask(ctx, wire.PathTargetLoad)
+	if err != nil || load.status != http.StatusOK {
+		return rep
+	}
+	rep.LoadKnown = json.Unmarshal(body, &rep.Load) == nil
+	rep.Leaving = rep.Leaving || load.leaving || (rep.LoadKnown && rep.Load.Leaving)
+	return rep
+}
+
+// probeAnswer is the head of an endpoint's answer.
+type probeAnswer struct {
+	status  int
+	leaving bool
+}
+
+// ask reads one of the target's own endpoints.
+func (c *Client) ask(ctx context.Context, path string) (probeAnswer, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.pool.Address()+path, http.NoBody)
+	if err != nil {
+		return probeAnswer{}, nil, err
+	}
+	a, err := c.pool.Send(ctx, r)
+	if err != nil {
+		return probeAnswer{}, nil, c.fault(upstream.AsError(err))
+	}
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxReportBytes+1))
+	if err == nil && len(body) > maxReportBytes {
+		err = fault.New(fault.KindTargetGarbage, "the report of target %s is longer than %d bytes", c.name, maxReportBytes)
+	}
+	return probeAnswer{a.StatusCode, a.Header.Get(wire.HeaderTargetLeaving) == "true"}, body, err
+}
+
+// InFlight returns the number of requests on the target's connections.
+func (c *Client) InFlight() int { return c.pool.Busy() }
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -240,3 +240,10 @@
 	p.mu.Unlock()
 	closeAll(dead)
 }
+
+// Busy returns the number of connections that carry a request.
+func (p *Pool) Busy() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.busy)
+}
