Show a whole federation in one process

Cause: a person who tries the system wants one command that shows it and measures what callers see.

Weighed: whether the edit is in force is asked of the instances (their status) or seen by a caller. The edit adds a route, and a caller asks every instance for it until it is served, and goes on asking, so that a return to an older version is seen too. Delays between zones are left out: a hop inside one process has none to vary, and a delay in the system's own code would be there only for the demo.

Change: package demo with 11 instances, 68 targets and the platform in one process; traffic of four kinds from callers in six zones; an edit, a drain, a crash and a store outage; the table and the JSON object; exit code 1 when an invariant broke.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -7,6 +7,7 @@
 	return []*cli.Command{
 		standinCommand(),
 		loadCommand(),
+		demoCommand(),
 		validateCommand(),
 		planCommand(),
 		applyCommand(),
--- /dev/null
+++ b/pkg/demo/demo_test.go
@@ -0,0 +1,91 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/load"
+)
+
+func TestDemoServesThroughItsEvents(t *testing.T) {
+	var lines []string
+	rep, err := Run(t.Context(), Options{Rate: 150, Step: 400 * time.Millisecond, Progress: func(l string) { lines = append(lines, l) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := rep.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s\n%s", strings.Join(lines, "\n"), &text)
+	if rep.Requests == 0 || rep.Completed == 0 || rep.Requests != rep.Completed+rep.NotRun+rep.Unknown {
+		t.Errorf("requests don't add up: %+v", rep)
+	}
+	if rep.WrongAnswers > 0 || rep.DuplicateRuns > 0 || rep.CutOff > 0 || rep.Details.Load.FalseNotRun > 0 {
+		t.Errorf("broken: %v", rep.Broken)
+	}
+	if rep.InForceSeconds < 0 {
+		t.Error("the edit was never in force everywhere")
+	}
+	for _, route := range []string{"feedlog", "certdesk", "catalogue", "archive"} {
+		if rep.Details.Load.Routes[route].Completed == 0 {
+			t.Errorf("route %s completed nothing", route)
+		}
+	}
+}
+
+func TestDemoEndsWhenInterrupted(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	_, err := Run(ctx, Options{Rate: 50, Step: 200 * time.Millisecond, Progress: func(l string) {
+		if strings.Contains(l, "traffic of four kinds") {
+			cancel()
+		}
+	}})
+	if fault.KindOf(err) == fault.KindNone {
+		t.Fatalf("error: %v", err)
+	}
+}
+
+func TestBrokenInvariantsAreNamed(t *testing.T) {
+	good := Report{InForceSeconds: 1}
+	cases := map[string]func(rep *Report, l *load.Report, g *gauge, o *observer){
+		"wrong answer":        func(rep *Report, _ *load.Report, _ *gauge, _ *observer) { rep.WrongAnswers = 1 },
+		"ran twice":           func(rep *Report, _ *load.Report, _ *gauge, _ *observer) { rep.DuplicateRuns = 1 },
+		"told that it did":    func(_ *Report, l *load.Report, _ *gauge, _ *observer) { l.FalseNotRun = 1 },
+		"cut off":             func(rep *Report, _ *load.Report, _ *gauge, _ *observer) { rep.CutOff = 1 },
+		"not in force":        func(rep *Report, _ *load.Report, _ *gauge, _ *observer) { rep.InForceSeconds = -1 },
+		"older configuration": func(_ *Report, _ *load.Report, _ *gauge, o *observer) { o.reverted["a"] = true },
+		"new work":            func(rep *Report, _ *load.Report, _ *gauge, _ *observer) { rep.Details.LastWorkSeconds = 3 },
+		"can carry":           func(_ *Report, _ *load.Report, g *gauge, _ *observer) { g.over["osrednja"] = 1 },
+	}
+	for want, change := range cases {
+		rep, l := good, load.Report{}
+		g, o := &gauge{over: map[string]int{}}, &observer{reverted: map[string]bool{}}
+		r := &run{edit: o}
+		if broken := r.broken(rep, l, g); len(broken) != 0 {
+			t.Fatalf("good figures: %v", broken)
+		}
+		change(&rep, &l, g, o)
+		broken := r.broken(rep, l, g)
+		if len(broken) != 1 || !strings.Contains(broken[0], want) {
+			t.Errorf("%s: %v", want, broken)
+		}
+	}
+}
+
+func TestJSONHasTheAgreedKeys(t *testing.T) {
+	data, err := json.Marshal(Report{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"requests":0,"completed":0,"not_run":0,"unknown":0,"wrong_answers":0,"duplicate_runs":0,"cut_off":0,` +
+		`"in_force_seconds":0,"drain_seconds":0,"latency_ms":{"p50":0,"p99":0}}`
+	if string(data) != want {
+		t.Fatalf("%s", data)
+	}
+}
--- /dev/null
+++ b/pkg/demo/report.go
@@ -0,0 +1,101 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/load"
+)
+
+// Report is what the demo measured. Everything is counted by the callers and
+// the stand-ins.
+type Report struct {
+	Requests      int `json:"requests"`
+	Completed     int `json:"completed"`
+	NotRun        int `json:"not_run"`
+	Unknown       int `json:"unknown"`
+	WrongAnswers  int `json:"wrong_answers"`
+	DuplicateRuns int `json:"duplicate_runs"`
+	// CutOff counts connections of callers and runs on leaving targets that
+	// broke off.
+	CutOff int `json:"cut_off"`
+	// InForceSeconds is from the edit's acceptance until every instance served
+	// the new route; -1 when one never did.
+	InForceSeconds float64 `json:"in_force_seconds"`
+	// DrainSeconds is from the first sign of leaving to the end of the
+	// target's last run.
+	DrainSeconds float64 `json:"drain_seconds"`
+	LatencyMS    Latency `json:"latency_ms"`
+
+	// Details are shown in the table and left out of the JSON form.
+	Details Details `json:"-"`
+	// Broken lists the invariants that were seen broken.
+	Broken []string `json:"-"`
+}
+
+// Latency percentiles over all completed requests, in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Details are the figures beyond the JSON form.
+type Details struct {
+	Load load.Report
+	// LastWorkSeconds is from the first sign of leaving to the last new work.
+	LastWorkSeconds float64
+	// LowestFree and MeanFree are fractions of free slots by region.
+	LowestFree map[string]float64
+	MeanFree   map[string]float64
+	// Reads and Writes are the store's, ReadsPerSecond its busiest second.
+	Reads, Writes  uint64
+	ReadsPerSecond int
+	// EditChecks counts the requests that looked for the edit.
+	EditChecks int
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) { fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
+	row("answers checked", "%d of %d requests, %d not run, %d unknown", r.Completed, r.Requests, r.NotRun, r.Unknown)
+	row("wrong answers", "%d", r.WrongAnswers)
+	row("repeated runs of non-idempotent requests", "%d", r.DuplicateRuns)
+	row("requests cut off", "%d", r.CutOff)
+	row("edit in force everywhere", "after %.2f s, seen by %d requests", r.InForceSeconds, r.Details.EditChecks)
+	row("drain", "empty %.2f s after the first sign, last new work after %.2f s", r.DrainSeconds, r.Details.LastWorkSeconds)
+	row("store", "%d reads, %d writes, %d reads in its busiest second", r.Details.Reads, r.Details.Writes, r.Details.ReadsPerSecond)
+	for _, region := range slices.Sorted(maps.Keys(r.Details.LowestFree)) {
+		row("headroom "+region, "%.0f%% of the slots free on average, %.0f%% at the least",
+			100*r.Details.MeanFree[region], 100*r.Details.LowestFree[region])
+	}
+	for _, kind := range slices.Sorted(maps.Keys(r.Details.Load.Kinds)) {
+		row("last kind "+kind, "%d", r.Details.Load.Kinds[kind])
+	}
+	fmt.Fprintf(t, "\nlatency in ms\trequests\tcompleted\tp50\tp90\tp99\tmax\n")
+	r.Details.writeLatency(t)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintln(w, "broken:", b)
+	}
+	return nil
+}
+
+func (d Details) writeLatency(w io.Writer) {
+	line := func(name string, p load.Part) {
+		l := p.LatencyMS
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\n", name, p.Requests, p.Completed, l.P50, l.P90, l.P99, l.Max)
+	}
+	line("all", load.Part{Requests: d.Load.Requests, Completed: d.Load.Completed, LatencyMS: d.Load.LatencyMS})
+	for _, name := range slices.Sorted(maps.Keys(d.Load.Routes)) {
+		line("route "+name, d.Load.Routes[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Load.Members)) {
+		line("member "+name, d.Load.Members[name])
+	}
+}
--- /dev/null
+++ b/pkg/demo/tables.go
@@ -0,0 +1,82 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// lookupTTL is how long callers may use a look-up answer.
+const lookupTTL = time.Second
+
+// editedRoute is the route that the edit adds. Callers see the edit in force
+// when their requests for it are served.
+const editedRoute = "inspection"
+
+// firstTables are the routes and pools that the demo begins with.
+func (w *world) firstTables() *table.Tables {
+	t := &table.Tables{}
+	for _, p := range places {
+		if t.Region(p.region) == nil {
+			t.Regions = append(t.Regions, table.Region{Name: p.region})
+		}
+	}
+	for _, s := range services {
+		t.Routes = append(t.Routes, route(s.name, s.name, t.Regions))
+		for _, r := range t.Regions {
+			t.Pools = append(t.Pools, w.pool(s.name, r.Name))
+		}
+	}
+	t.Route("certdesk").Priority = table.PriorityHigh
+	t.Route("archive").Priority = table.PriorityLow
+	return t
+}
+
+// route is a route to the pools of a service in every region.
+func route(name, service string, regions []table.Region) table.Route {
+	r := table.Route{
+		Name: name, PathPrefix: "/" + name,
+		Timeout: table.Duration(5 * time.Second), LookupTTL: table.Duration(lookupTTL),
+	}
+	for _, region := range regions {
+		r.Pools = append(r.Pools, table.PoolWeight{Pool: poolName(service, region.Name), Weight: 100})
+	}
+	return r
+}
+
+func poolName(service, region string) string { return fmt.Sprintf("%s-%s", service, region) }
+
+// pool is the pool of a service's targets in one region.
+func (w *world) pool(service, region string) table.Pool {
+	p := table.Pool{Name: poolName(service, region), Region: region}
+	for _, t := range w.targets {
+		if t.service != service || t.region != region {
+			continue
+		}
+		p.Targets = append(p.Targets, table.Target{
+			Name: t.name, Address: w.group.Target(t.name).Address(), Zone: t.zone, Slots: t.slots,
+		})
+	}
+	return p
+}
+
+// withEditedRoute returns the tables after the edit.
+func withEditedRoute(t *table.Tables) *table.Tables {
+	next := t.Clone()
+	next.Version = 1
+	next.Routes = append(next.Routes, route(editedRoute, "certdesk", next.Regions))
+	return next
+}
+
+// accept makes t the next version.
+func (w *world) accept(ctx context.Context, t *table.Tables, reason string) error {
+	_, err := tablestore.Accept(ctx, w.store, w.store, tablestore.Edit{
+		ID: uuid.NewString(), Author: "demo", Reason: reason, Tables: t,
+	})
+	return err
+}
--- /dev/null
+++ b/pkg/demo/world.go
@@ -0,0 +1,203 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/node"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/target"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// place is one availability zone.
+type place struct {
+	zone   string
+	region string
+}
+
+// places are the six availability zones.
+var places = []place{
+	{"osrednja-a", "osrednja"},
+	{"osrednja-b", "osrednja"},
+	{"stajerska-a", "stajerska"},
+	{"stajerska-b", "stajerska"},
+	{"primorska-a", "primorska"},
+	{"primorska-b", "primorska"},
+}
+
+// instanceCount is the number of instances; they go round the zones.
+const instanceCount = 11
+
+// service is one kind of workload and its targets.
+type service struct {
+	name    string
+	targets int
+	config  target.Config
+}
+
+// services are the four kinds of workload; their targets go round the zones.
+var services = []service{
+	{"feedlog", 20, target.Config{Slots: 4, ServiceTime: ms(8), ServiceTimeP99: ms(30)}},
+	{"certdesk", 12, target.Config{Slots: 4, ServiceTime: ms(5), ServiceTimeP99: ms(20)}},
+	{"catalogue", 24, target.Config{Slots: 6, ServiceTime: ms(6), ServiceTimeP99: ms(25)}},
+	{"archive", 12, target.Config{Slots: 5, ServiceTime: ms(25), ServiceTimeP99: ms(90)}},
+}
+
+func ms(n int) table.Duration { return table.Duration(time.Duration(n) * time.Millisecond) }
+
+const (
+	// listLag is the age of the platform's list of instances.
+	listLag = time.Second
+	// storeDelay is the delay of each call of the store.
+	storeDelay = 2 * time.Millisecond
+	// pollInterval is the time between two reads of the store by an instance.
+	pollInterval = 500 * time.Millisecond
+	// reportLag is the age of the targets' load reports.
+	reportLag = 100 * time.Millisecond
+	// restartAfter is how long a crashed target stays away.
+	restartAfter = 2 * time.Second
+	// drainGrace is how long a leaving target takes new work. It is longer
+	// than what the system may need, so that late work is seen, not shed.
+	drainGrace = 6 * time.Second
+)
+
+// placed is a target and where it stands.
+type placed struct {
+	name string
+	place
+	service string
+	slots   int
+}
+
+// world is everything that the demo starts.
+type world struct {
+	store   *standin.Store
+	group   *target.Group
+	targets []placed
+	running []*running
+	wg      conc.WaitGroup
+}
+
+// running is one instance.
+type running struct {
+	self platform.Instance
+	stop context.CancelFunc
+}
+
+// newWorld starts the stand-ins and the instances.
+func newWorld(ctx context.Context) (*world, error) {
+	w := &world{store: standin.New(nil)}
+	w.store.SetFaults(standin.Faults{
+		ListLag: table.Duration(listLag), Delay: table.Duration(storeDelay),
+		ReadsPerSecond: 2000, WritesPerSecond: 400,
+	})
+	w.group = target.NewGroup(w.placeTargets(), target.NewRecorder(nil))
+	if err := w.group.Start(); err != nil {
+		return nil, err
+	}
+	for i := range instanceCount {
+		if err := w.startInstance(ctx, i); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// placeTargets spreads the targets over the zones.
+func (w *world) placeTargets() []target.Config {
+	var configs []target.Config
+	for _, s := range services {
+		for i := range s.targets {
+			p := places[i%len(places)]
+			c := s.config
+			c.Name = fmt.Sprintf("%s-%s-%d", s.name, p.zone, i/len(places)+1)
+			c.Address = "127.0.0.1:0"
+			c.Seed = uint64(len(configs) + 1)
+			c.ColdFactor, c.WarmRequests = 2, 20
+			c.DrainGrace = table.Duration(drainGrace)
+			c.RestartAfter = table.Duration(restartAfter)
+			c.Faults.ReportLag = table.Duration(reportLag)
+			configs = append(configs, c)
+			w.targets = append(w.targets, placed{name: c.Name, place: p, service: s.name, slots: c.Slots})
+		}
+	}
+	return configs
+}
+
+// startInstance starts the instance with the given number.
+func (w *world) startInstance(ctx context.Context, number int) error {
+	p := places[number%len(places)]
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: fmt.Sprintf("%s-%d", p.zone, number/len(places)+1), Zone: p.zone, Region: p.region}
+	s.Leave.MinLookupTTL = settings.Duration(lookupTTL)
+	listeners, err := listen()
+	if err != nil {
+		return err
+	}
+	self := platform.Instance{
+		ID: s.Instance.ID, Zone: p.zone, Region: p.region, Incarnation: uuid.NewString()[:8],
+		CallerAddress: listeners.Caller.Addr().String(),
+		HopAddress:    listeners.Hop.Addr().String(),
+		AdminAddress:  listeners.Admin.Addr().String(),
+	}
+	n := node.New(node.Config{
+		Settings:  &s,
+		Self:      self,
+		Listeners: listeners,
+		Cluster:   node.NewPoller(w.store, w.store, w.store, self, pollInterval, s.Platform.Timeout.Std()),
+		Log:       zap.NewNop(),
+		Seed:      uint64(number + 1),
+	})
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	w.running = append(w.running, &running{self: self, stop: stop})
+	w.wg.Go(func() { _ = n.Run(ctx) })
+	return nil
+}
+
+// listen opens the listeners of one instance on free ports.
+func listen() (node.Listeners, error) {
+	var ls node.Listeners
+	for _, l := range []*net.Listener{&ls.Caller, &ls.Hop, &ls.Admin} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ls, err
+		}
+		*l = ln
+	}
+	return ls, nil
+}
+
+// entries are the caller addresses of a zone's instances.
+func (w *world) entries(zone string) []string {
+	var addresses []string
+	for _, r := range w.running {
+		if r.self.Zone == zone {
+			addresses = append(addresses, r.self.CallerAddress)
+		}
+	}
+	return addresses
+}
+
+// stopInstances stops every instance as planned and waits for them.
+func (w *world) stopInstances() {
+	for _, r := range w.running {
+		r.stop()
+	}
+	w.wg.Wait()
+}
+
+// close ends everything.
+func (w *world) close() {
+	w.stopInstances()
+	w.group.Close()
+}
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -18,13 +18,15 @@
 
 const (
 	// maxSubmissions bounds how often one request is sent.
-	maxSubmissions = 6
+	maxSubmissions = 8
 	// answerGrace is how long after its deadline an answer is still awaited.
 	answerGrace = time.Second
 	// maxErrorBytes bounds what is read of an answer that is not checked.
 	maxErrorBytes = 64 << 10
-	// shortestWait separates submissions when no time to come back was said.
+	// shortestWait and longestWait bound the wait between submissions when no
+	// time to come back was said; it doubles each time.
 	shortestWait = 20 * time.Millisecond
+	longestWait  = time.Second
 )
 
 // Caller sends requests as a caller of the system does. It may be used from
@@ -48,6 +50,16 @@
 // Close drops the idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
+// AwaitLookup asks for route until an instance answers which instances to use.
+func (c *Caller) AwaitLookup(ctx context.Context, route string) error {
+	for {
+		_, err := c.lookups.get(ctx, route)
+		if err == nil || !pause(ctx, shortestWait) {
+			return err
+		}
+	}
+}
+
 // Request is one request to the system.
 type Request struct {
 	exchange.Sent
@@ -108,7 +120,7 @@
 	s.result.Submissions++
 	answer, err := s.caller.lookups.get(ctx, s.request.Route)
 	if err != nil {
-		return shortestWait, true
+		return s.backoff(), true
 	}
 	in := choose(answer, s.tried)
 	fresh := s.id == ""
@@ -168,7 +180,7 @@
 // broken counts a submission that ended without a whole answer.
 func (s *submission) broken(ctx context.Context, sent bool) (time.Duration, bool) {
 	if !sent {
-		return shortestWait, true
+		return s.backoff(), true
 	}
 	s.result.Outcome = fault.Unknown
 	if ctx.Err() != nil {
@@ -176,7 +188,12 @@
 		return 0, false
 	}
 	s.result.CutOff++
-	return shortestWait, true
+	return s.backoff(), true
+}
+
+// backoff is the wait before the next submission.
+func (s *submission) backoff() time.Duration {
+	return min(shortestWait<<(s.result.Submissions-1), longestWait)
 }
 
 // take takes in an answer.
--- a/pkg/standin/target/target.go
+++ b/pkg/standin/target/target.go
@@ -85,6 +85,13 @@
 	return t.stats
 }
 
+// Address is where the target listens, once it has been started.
+func (t *Target) Address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.config.Address
+}
+
 // newIncarnation returns a name for one life of a target.
 func newIncarnation() string { return uuid.NewString() }
 
