--- a/pkg/peer/platform/http.go
+++ b/pkg/peer/platform/http.go
@@ -160,12 +160,16 @@
 // KindStoreAmbiguous when a transaction may have reached the platform, and
 // KindStoreUnavailable otherwise.
 func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
-	var sent atomic.Bool
+	if ctx.Err() != nil {
+		return answer{}, fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "asking the platform")
+	}
 	// The transport repeats a transaction only when nothing of it was written;
-	// each try begins with GetConn.
+	// each try begins with GetConn. A transport that reports neither counts as
+	// having sent the request.
+	var dialing atomic.Bool
 	trace := &httptrace.ClientTrace{
-		GetConn: func(string) { sent.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GetConn: func(string) { dialing.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { dialing.Store(false) },
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -175,7 +179,7 @@
 		req.Header[name] = values
 	}
 	kind := func() fault.Kind {
-		if method == http.MethodPost && sent.Load() {
+		if method == http.MethodPost && !dialing.Load() {
 			return fault.KindStoreAmbiguous
 		}
 		return fault.KindStoreUnavailable
--- /dev/null
+++ b/pkg/peer/platform/http_test.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// canned answers every request alike.
+type canned struct {
+	status int
+	header http.Header
+	body   []byte
+	broken bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c canned) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+	var body io.Reader = bytes.NewReader(c.body)
+	if c.broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &http.Response{StatusCode: c.status, Header: c.header.Clone(), Body: io.NopCloser(body), Request: r}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// accepted are the kinds that the interfaces name.
+var accepted = map[fault.Kind]bool{
+	fault.KindNone: true, fault.KindBadRequest: true, fault.KindEditConflict: true,
+	fault.KindStoreUnavailable: true, fault.KindStoreAmbiguous: true,
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add(200, `"1"`, "2026-12-04T00:00:00Z", []byte(`{"etags":["a"]}`), false)
+	f.Add(304, "", "", []byte(nil), false)
+	f.Add(200, "", "yesterday", []byte(`[{"key":1}]`), true)
+	f.Add(500, "", "", []byte("\xff\x00"), false)
+	f.Add(412, "", "", []byte("conflict"), false)
+	f.Fuzz(func(t *testing.T, status int, etag, modified string, body []byte, broken bool) {
+		header := http.Header{"Etag": {etag}, HeaderModified: {modified}}
+		c := NewClient("http://platform", canned{status: status, header: header, body: body, broken: broken})
+		check := func(what string, err error) {
+			if k := fault.KindOf(err); !accepted[k] || (err != nil && k == fault.KindNone) {
+				t.Errorf("%s: kind %v of %v", what, k, err)
+			}
+		}
+		row, changed, err := c.Get(t.Context(), "k", "")
+		check("get", err)
+		if changed && row.ETag == "" {
+			t.Error("a row without an ETag has changed")
+		}
+		_, err = c.List(t.Context(), "k")
+		check("list", err)
+		etags, err := c.Commit(t.Context(), []Write{{Key: "k"}})
+		check("commit", err)
+		if err == nil && len(etags) != 1 {
+			t.Errorf("%d ETags for one write", len(etags))
+		}
+		_, _, err = c.GetObject(t.Context(), "o")
+		check("get object", err)
+		check("put object", c.PutObject(t.Context(), "o", body))
+		_, err = c.ListInstances(t.Context())
+		check("list instances", err)
+		check("register", c.Register(t.Context(), Instance{ID: "i"}))
+		check("deregister", c.Deregister(t.Context(), "i", "x"))
+	})
+}
+
+func TestAnswersToTransactionsAreTakenApart(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   fault.Kind
+		broken bool
+	}{
+		{status: 200, body: `{"etags":["a"]}`, broken: true, want: fault.KindStoreAmbiguous},
+		{status: 503, broken: true, want: fault.KindStoreAmbiguous},
+		{status: 200, body: `{"etags":["a"]}`, want: fault.KindNone},
+		{status: 200, body: `{"etags":[]}`, want: fault.KindStoreAmbiguous},
+		{status: 200, body: `{"etags`, want: fault.KindStoreAmbiguous},
+		{status: 412, body: "", want: fault.KindEditConflict},
+		{status: 503, body: "", want: fault.KindStoreUnavailable},
+		{status: 429, body: "", want: fault.KindStoreUnavailable},
+		{status: 500, body: "", want: fault.KindStoreAmbiguous},
+		{status: 502, body: "", want: fault.KindStoreAmbiguous},
+		{status: 400, body: "", want: fault.KindBadRequest},
+	}
+	for _, tc := range cases {
+		c := NewClient("http://platform", canned{status: tc.status, body: []byte(tc.body), broken: tc.broken})
+		_, err := c.Commit(t.Context(), []Write{{Key: "k"}})
+		if got := fault.KindOf(err); got != tc.want {
+			t.Errorf("status %d, body %q: %v, want %v", tc.status, tc.body, got, tc.want)
+		}
+	}
+}
