Cut a zone off from the platform, and silence connections under load

Cause: the tests of processes killed and froze, but cut nothing off, silenced no connection and lost no answer of the store.

Change: a relay in the test tree between a zone's instances and the platform; tests of a zone cut off during an edit, of silent connections with crashing targets, and of edits whose answers are lost.

--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -74,3 +74,51 @@
 	s.reportAfter(p)
 	s.serves("after")
 }
+
+func TestZoneCutOffFromThePlatformServes(t *testing.T) {
+	s := newSystem(t)
+	p := s.load("load", 9)
+	time.Sleep(hold / 2)
+	s.links["osrednja-b"].cut(true)
+	run(t, "drain", "--platform", s.platform, "--target", "certdesk-0", "--reason", "while a zone is cut off")
+	time.Sleep(2 * hold)
+	s.links["osrednja-b"].cut(false)
+	s.reportAfter(p)
+	for _, in := range s.instances {
+		eventually(t, "the drain is in force on "+in.name, func() bool { return s.version(in) == 2 })
+	}
+	s.serves("after")
+}
+
+func TestSilentConnectionsAndCrashingTargets(t *testing.T) {
+	s := newSystem(t)
+	p := s.load("load", 9)
+	time.Sleep(hold / 2)
+	for _, w := range workloads {
+		s.control(0, w.name, "silence")
+		s.control(3, w.name, "silence")
+	}
+	time.Sleep(hold)
+	for _, w := range workloads {
+		s.control(1, w.name, "crash")
+		s.control(2, w.name, "silence")
+	}
+	time.Sleep(hold)
+	s.reportAfter(p)
+	s.serves("after")
+}
+
+func TestLostAnswersOfTheStoreMakeOneEditEach(t *testing.T) {
+	s := newSystem(t)
+	for i, fault := range []string{`{"lose_answers":1}`, `{"lose_commits":1}`, `{"lose_answers":2}`} {
+		s.fault(fault)
+		action := []string{"drain", "undrain"}[i%2]
+		run(t, action, "--platform", s.platform, "--target", "certdesk-0", "--reason", "the answer is lost", "--wait", longest.String())
+		for _, in := range s.instances {
+			if v := s.version(in); v != uint64(i+2) {
+				t.Errorf("%s has version %d after edit %d", in.name, v, i+2)
+			}
+		}
+	}
+	s.serves("after")
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -164,10 +165,10 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// put sends a JSON body and expects status 200.
-func put(t *testing.T, url, body string) {
+// send sends a request and expects a status.
+func send(t *testing.T, method, url, body string, want int) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,8 +178,8 @@
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("PUT %s: status %d", url, resp.StatusCode)
+	if resp.StatusCode != want {
+		t.Fatalf("%s %s: status %d", method, url, resp.StatusCode)
 	}
 }
 
@@ -190,12 +191,17 @@
 )
 
 // nextPort is the port to try next; tests of other processes start elsewhere.
-var nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
+var (
+	nextPort   = firstPort + os.Getpid()*97%(lastPort-firstPort)
+	nextPortMu sync.Mutex
+)
 
 // freeAddresses returns n loopback addresses that nothing listens on, each
 // given out once.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	nextPortMu.Lock()
+	defer nextPortMu.Unlock()
 	var addresses []string
 	for range lastPort - firstPort {
 		if len(addresses) == n {
--- a/test/process/system_test.go
+++ b/test/process/system_test.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/load"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
 // workload is one of the four kinds of traffic.
@@ -39,9 +42,11 @@
 // system is a whole system of processes: two availability zones with two
 // instances and two processes of targets each.
 type system struct {
-	t         *testing.T
-	dir       string
-	platform  string
+	t        *testing.T
+	dir      string
+	platform string
+	// links lead the instances of each zone to the platform.
+	links     map[string]*relay
 	instances []*member
 	targets   []*member
 }
@@ -49,11 +54,23 @@
 // zones lists the zone of each instance and each process of targets.
 var zones = []string{"osrednja-a", "osrednja-a", "osrednja-b", "osrednja-b"}
 
-// newSystem starts a system and puts its tables in force.
+// atOnce bounds the systems that run at the same time.
+var atOnce = make(chan struct{}, 2)
+
+// newSystem starts a system and puts its tables in force. The test runs
+// beside others.
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir()}
+	t.Parallel()
+	atOnce <- struct{}{}
+	t.Cleanup(func() { <-atOnce })
+	s := &system{t: t, dir: t.TempDir(), links: map[string]*relay{}}
 	s.startPlatform()
+	for _, zone := range zones {
+		if s.links[zone] == nil {
+			s.links[zone] = newRelay(t, s.platform)
+		}
+	}
 	for i, zone := range zones {
 		s.targets = append(s.targets, s.newTargets(i, zone))
 		s.instances = append(s.instances, s.newInstance(i, zone))
@@ -93,7 +110,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "control: %s\nrun_log: %s\ntargets:\n", m.addrs[len(workloads)], m.runLog)
 	for j, w := range workloads {
-		fmt.Fprintf(&b, "  - {name: %s-%d, address: '%s', slots: %d, service_time: 100ms, service_time_p99: 300ms}\n", w.name, i, m.addrs[j], w.slots)
+		fmt.Fprintf(&b, "  - {name: %s-%d, address: '%s', slots: %d, service_time: 100ms, service_time_p99: 300ms, restart_after: 1s}\n", w.name, i, m.addrs[j], w.slots)
 	}
 	m.file = s.write(m.name+".yaml", b.String())
 	return m
@@ -107,7 +124,7 @@
 platform: {url: 'http://%s', poll_interval: 200ms}
 probe: {interval: 200ms}
 leave: {min_lookup_ttl: 500ms}
-`, m.name, zone, m.addrs[0], m.addrs[1], m.addrs[2], m.addrs[3], s.platform))
+`, m.name, zone, m.addrs[0], m.addrs[1], m.addrs[2], m.addrs[3], s.links[zone].address()))
 	return m
 }
 
@@ -147,7 +164,14 @@
 // fault switches faults of the platform.
 func (s *system) fault(body string) {
 	s.t.Helper()
-	put(s.t, "http://"+s.platform+"/control/faults", body)
+	send(s.t, http.MethodPut, "http://"+s.platform+"/control/faults", body, http.StatusOK)
+}
+
+// control posts to a target's controls.
+func (s *system) control(i int, workload, action string) {
+	s.t.Helper()
+	url := fmt.Sprintf("http://%s/control/targets/%s-%d/%s", s.targets[i].addrs[len(workloads)], workload, i, action)
+	send(s.t, http.MethodPost, url, "", http.StatusNoContent)
 }
 
 // load starts load of all four workloads for some seconds.
@@ -211,3 +235,18 @@
 		s.t.Errorf("%s: %+v", name, rep)
 	}
 }
+
+// version is the version of the tables that an instance reports, or 0.
+func (s *system) version(in *member) uint64 {
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + in.addrs[3] + wire.PathStatus)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status wire.Status
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return 0
+	}
+	return status.Version
+}
