--- /dev/null
+++ b/pkg/cluster/cluster.go
@@ -0,0 +1,288 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Cluster is one instance's part in what the instances share. The methods
+// that return views never block.
+type Cluster struct {
+	cfg    Config
+	timing Timing
+	self   allowance.Key
+	store  *guard
+	list   *guard
+
+	updates   chan struct{}
+	rowDue    chan struct{}
+	offers    chan member.Info
+	beatDue   chan struct{}
+	tables    atomic.Pointer[table.Tables]
+	shares    atomic.Pointer[steer.Shares]
+	instances atomic.Pointer[[]platform.Instance]
+	summaries atomic.Pointer[[]steer.ZoneSummary]
+
+	// mu guards the decisions below. It is held for short computations only,
+	// never during I/O, and never by the path of a request.
+	mu         sync.Mutex
+	core       Core
+	view       *member.View
+	versions   spread.Versions
+	ledger     *allowance.Ledger
+	witness    *allowance.Witness
+	reclaimer  *allowance.Reclaimer
+	inbox      *allowance.Inbox
+	borrower   *allowance.Borrower
+	zones      *zoneBook
+	heard      time.Time // when a watcher last answered
+	promisedAt time.Time // when promises were last asked for
+	leaving    bool
+	started    time.Time
+
+	// row and etag are what the store last held, for the row loop alone.
+	row  *allowance.Row
+	etag string
+	// headETag is that of the tables' head, for the tables loop alone.
+	headETag string
+}
+
+// New returns a Cluster; Run starts it.
+func New(cfg Config) *Cluster {
+	t := cfg.Timing
+	self := allowance.Key{ID: cfg.Self.ID, Incarnation: cfg.Self.Incarnation}
+	c := &Cluster{
+		cfg: cfg, timing: t, self: self, store: newGuard(t.Store), list: newGuard(t.Store),
+		updates: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), beatDue: make(chan struct{}, 1),
+		offers: make(chan member.Info, maxOffers), row: &allowance.Row{},
+		view:      member.New(toInfo(cfg.Self), t.Member),
+		ledger:    allowance.NewLedger(self, cfg.Self.PeerAddress, t.Allowance, allowance.Rules{}),
+		witness:   allowance.NewWitness(self, t.Allowance),
+		reclaimer: allowance.NewReclaimer(self, t.Allowance, allowance.Rules{}),
+		inbox:     allowance.NewInbox(t.Allowance),
+		zones:     newZoneBook(cfg.Self.Zone),
+	}
+	c.borrower = allowance.NewBorrower(t.Allowance, func(n int) int { return int(cfg.Rand() * float64(n)) })
+	c.shares.Store(&steer.Shares{})
+	c.instances.Store(&[]platform.Instance{cfg.Self})
+	c.summaries.Store(&[]steer.ZoneSummary{})
+	return c
+}
+
+// Attach connects the decisions that use the shares. Call it before Run. From
+// then on only the Cluster may set the shares of core, since a share that is
+// lent must be out of use before it is offered.
+func (c *Cluster) Attach(core Core) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core = core
+}
+
+// Run works until ctx ends.
+func (c *Cluster) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.started = time.Now()
+	c.mu.Unlock()
+	var wg conc.WaitGroup
+	wg.Go(func() { c.registerLoop(ctx) })
+	wg.Go(func() { c.listLoop(ctx) })
+	wg.Go(func() { c.heartbeatLoop(ctx) })
+	wg.Go(func() { c.tablesLoop(ctx) })
+	wg.Go(func() { c.offersLoop(ctx) })
+	wg.Go(func() { c.rowLoop(ctx) })
+	wg.Go(func() { c.sharesLoop(ctx) })
+	wg.Go(func() { c.zonesLoop(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// Updates receives a value after any of the views has changed.
+func (c *Cluster) Updates() <-chan struct{} { return c.updates }
+
+// Tables returns the highest accepted version known, or nil.
+func (c *Cluster) Tables() *table.Tables { return c.tables.Load() }
+
+// Rejected returns the highest version that could not be read, or 0.
+func (c *Cluster) Rejected() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions.Rejected()
+}
+
+// Shares returns what this instance may use at present.
+func (c *Cluster) Shares() steer.Shares { return *c.shares.Load() }
+
+// Instances returns the live and leaving instances of all zones.
+func (c *Cluster) Instances() []platform.Instance { return *c.instances.Load() }
+
+// Summaries returns the latest summaries of other zones.
+func (c *Cluster) Summaries() []steer.ZoneSummary { return *c.summaries.Load() }
+
+// Leave announces that this instance is leaving.
+func (c *Cluster) Leave(ctx context.Context) error {
+	c.mu.Lock()
+	c.leaving = true
+	c.view.Leave()
+	in := toInstance(c.view.Self())
+	c.mu.Unlock()
+	signal(c.beatDue)
+	c.changed()
+	return c.list.write(ctx, func(ctx context.Context) error { return c.cfg.Instances.Register(ctx, in) })
+}
+
+// handBackPoll is the interval of looking whether the shares were taken back.
+const handBackPoll = 50 * time.Millisecond
+
+// HandBack gives back what this instance holds, once nothing is in flight. It
+// waits until the zone's row says so, or ctx ends.
+func (c *Cluster) HandBack(ctx context.Context) error {
+	c.mu.Lock()
+	c.leaving = true
+	c.ledger.Leave()
+	c.publish(time.Now())
+	c.mu.Unlock()
+	t := time.NewTicker(handBackPoll)
+	defer t.Stop()
+	for {
+		signal(c.beatDue)
+		c.mu.Lock()
+		done := c.ledger.HandedBack()
+		c.mu.Unlock()
+		if done {
+			return c.list.write(ctx, func(ctx context.Context) error {
+				return c.cfg.Instances.Deregister(ctx, c.self.ID, c.self.Incarnation)
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "shares not handed back in time; they return when the lease has lapsed")
+		case <-t.C:
+		}
+	}
+}
+
+// changed tells the reader of Updates, and rebuilds the list of instances.
+func (c *Cluster) changed() {
+	c.mu.Lock()
+	now := time.Now()
+	list := []platform.Instance{toInstance(c.view.Self())}
+	for _, m := range c.view.Members(now) {
+		if m.State != member.Suspect {
+			list = append(list, toInstance(m.Info))
+		}
+	}
+	sums := c.zones.summaries(now)
+	c.mu.Unlock()
+	c.instances.Store(&list)
+	c.summaries.Store(&sums)
+	signal(c.updates)
+}
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for d, an early signal, or the end of ctx, which it reports.
+func sleep(ctx context.Context, d time.Duration, early <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-early:
+	case <-t.C:
+	}
+	return true
+}
+
+// jitter returns d spread by a tenth to either side.
+func (c *Cluster) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.9 + 0.2*c.cfg.Rand()))
+}
+
+// call sends one call to another instance and notes how it ended.
+func (c *Cluster) call(ctx context.Context, to member.Info, m instance.Method, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timing.Call)
+	defer cancel()
+	err := c.cfg.Peers.Call(ctx, to.PeerAddress, m, params, result)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reached := err == nil || (fault.KindOf(err) != fault.KindPeerUnavailable && fault.KindOf(err) != fault.KindNone)
+	c.view.ObserveCall(time.Now(), to.ID, reached)
+	if instance.IsRefused(err) {
+		c.reclaimer.ObserveDeath(time.Now(), keyOf(to))
+	}
+	return err
+}
+
+// find returns the member with key k.
+func (c *Cluster) find(k allowance.Key) (member.Info, bool) {
+	for _, m := range c.view.Members(time.Now()) {
+		if keyOf(m.Info) == k {
+			return m.Info, true
+		}
+	}
+	return member.Info{}, false
+}
+
+// ranked returns the ids of the zone's live members and self in the order of
+// the watchers' role.
+func (c *Cluster) ranked(now time.Time) []string {
+	ids := make([]string, 0, 8)
+	if !c.leaving {
+		ids = append(ids, c.self.ID)
+	}
+	for _, m := range c.view.Zone(now, c.cfg.Self.Zone) {
+		if m.State == member.Alive {
+			ids = append(ids, m.ID)
+		}
+	}
+	return spread.Rank(c.cfg.Self.Zone, ids)
+}
+
+// position returns this instance's place among the watchers' candidates, or -1.
+func (c *Cluster) position() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return spread.Position(c.ranked(time.Now()), c.self.ID)
+}
+
+// isWatcher reports whether this instance watches the store.
+func (c *Cluster) isWatcher() bool {
+	p := c.position()
+	return p >= 0 && p < spread.Watchers
+}
+
+// pushPoison returns the records to send with a message.
+func (c *Cluster) pushPoison(now time.Time) []poison.Record {
+	if c.core == nil {
+		return nil
+	}
+	return c.core.PoisonRecords(now.Add(-poisonWindow))
+}
+
+// poisonWindow is how long a changed record is sent along.
+const poisonWindow = 5 * time.Second
+
+func (c *Cluster) takePoison(now time.Time, recs []poison.Record) {
+	if c.core != nil && len(recs) > 0 {
+		c.core.MergePoison(now, recs)
+	}
+}
--- /dev/null
+++ b/pkg/cluster/cluster_test.go
@@ -0,0 +1,143 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// until waits in virtual time for cond, at most for limit, and returns how
+// long it took.
+func until(t *testing.T, limit time.Duration, what string, cond func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !cond() {
+		if time.Since(begin) > limit {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+func startAll(b *bench, n, zones int) {
+	for i := range n {
+		b.start(fmt.Sprintf("instance-%03d", i), zoneName(i, zones))
+	}
+}
+
+func TestInstancesServeAndShareFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.stop()
+		b.store.accept(testTables(1, 6))
+		startAll(b, 11, 6)
+		took := until(t, 5*time.Second, "all shares granted", func() bool {
+			return b.allInForce(1) && b.usable("feedlog-0") == 4 && b.usable("feedlog-5") == 4
+		})
+		t.Logf("serving after %v", took)
+	})
+}
+
+func TestSharesOfAKilledInstanceComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		startAll(b, 2, 1)
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		b.kill(b.nodes[0])
+		took := until(t, 30*time.Second, "shares reclaimed", func() bool { return b.usable("feedlog-0") == 4 })
+		t.Logf("reclaimed after %v", took)
+	})
+}
+
+func TestAStoreOutageStopsNoSharing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(3)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		startAll(b, 3, 1)
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		b.store.down.Store(true)
+		for i := range 12 * 60 {
+			time.Sleep(time.Second)
+			if got := b.usable("feedlog-0"); got != 4 {
+				t.Fatalf("usable shares are %d of 4 after %d s of the outage", got, i)
+			}
+		}
+	})
+}
+
+func TestAHandedBackShareIsUsedByOthersSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(4)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		startAll(b, 2, 1)
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		n := b.nodes[0]
+		if err := n.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.HandBack(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		b.kill(n)
+		took := until(t, 4*time.Second, "shares taken over", func() bool { return b.usable("feedlog-0") == 4 })
+		t.Logf("taken over %v after the hand-back", took)
+	})
+}
+
+func TestANewVersionIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(5)
+		defer b.stop()
+		b.store.accept(testTables(1, 6))
+		startAll(b, 11, 6)
+		until(t, 5*time.Second, "first version", func() bool { return b.allInForce(1) })
+		b.store.accept(testTables(2, 6))
+		took := until(t, 2*time.Second, "second version", func() bool { return b.allInForce(2) })
+		t.Logf("in force after %v", took)
+	})
+}
+
+func TestAnInstanceStartsFromAPeerWhileTheStoreIsDown(t *testing.T) {
+	for name, listDown := range map[string]bool{"list up": false, "list down, seeds known": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(6)
+				defer b.stop()
+				b.seeds = []string{"instance-000", "instance-001"}
+				b.store.accept(testTables(1, 1))
+				startAll(b, 3, 1)
+				until(t, 5*time.Second, "first version", func() bool { return b.allInForce(1) })
+				b.store.down.Store(true)
+				b.store.listDown.Store(listDown)
+				late := b.start("instance-late", zoneName(0, 1))
+				took := until(t, 2*time.Second, "tables at the late instance", func() bool { return late.Tables() != nil })
+				t.Logf("tables after %v", took)
+			})
+		})
+	}
+}
+
+func TestWithEverythingDownAnInstanceWaitsAndHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(7)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		b.store.down.Store(true)
+		b.store.listDown.Store(true)
+		n := b.start("instance-0", zoneName(0, 1))
+		time.Sleep(time.Minute)
+		if n.Tables() != nil || len(n.Shares().Slots) > 0 {
+			t.Fatal("an instance without any source serves")
+		}
+		b.store.down.Store(false)
+		b.store.listDown.Store(false)
+		took := until(t, 20*time.Second, "healed", func() bool { return b.usable("feedlog-0") == 4 })
+		t.Logf("serving %v after the platform came back", took)
+	})
+}
--- /dev/null
+++ b/pkg/cluster/fake_test.go
@@ -0,0 +1,330 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// fakeStore is the platform in memory.
+type fakeStore struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	objects   map[string][]byte
+	instances map[string]platform.Instance
+	etag      int
+	down      atomic.Bool
+	listDown  atomic.Bool
+	reads     atomic.Int64
+	writes    atomic.Int64
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}, instances: map[string]platform.Instance{}}
+}
+
+const storeDelay = 4 * time.Millisecond
+
+func (s *fakeStore) reach(ctx context.Context, n *atomic.Int64) error {
+	return s.try(ctx, n, &s.down)
+}
+
+func (s *fakeStore) try(ctx context.Context, n *atomic.Int64, down *atomic.Bool) error {
+	n.Add(1)
+	if down.Load() {
+		<-ctx.Done()
+		return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "down")
+	}
+	time.Sleep(storeDelay)
+	return nil
+}
+
+func (s *fakeStore) Get(ctx context.Context, key, ifNoneMatch string) (platform.Row, bool, error) {
+	if err := s.reach(ctx, &s.reads); err != nil {
+		return platform.Row{}, false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rows[key]
+	if r.ETag != "" && r.ETag == ifNoneMatch {
+		return platform.Row{}, false, nil
+	}
+	return r, true, nil
+}
+
+func (s *fakeStore) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+
+func (s *fakeStore) Commit(ctx context.Context, ws []platform.Write) ([]string, error) {
+	if err := s.reach(ctx, &s.writes); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range ws {
+		if s.rows[w.Key].ETag != w.IfMatch {
+			return nil, fault.New(fault.KindEditConflict, "row %s has changed", w.Key)
+		}
+	}
+	var etags []string
+	for _, w := range ws {
+		s.etag++
+		e := fmt.Sprint(s.etag)
+		s.rows[w.Key] = platform.Row{Key: w.Key, ETag: e, Value: w.Value, ModifiedAt: time.Now()}
+		etags = append(etags, e)
+	}
+	return etags, nil
+}
+
+func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = data
+	return nil
+}
+
+func (s *fakeStore) GetObject(ctx context.Context, name string) ([]byte, bool, error) {
+	if err := s.reach(ctx, &s.reads); err != nil {
+		return nil, false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.objects[name]
+	return d, ok, nil
+}
+
+func (s *fakeStore) ListInstances(ctx context.Context) ([]platform.Instance, error) {
+	if err := s.try(ctx, &s.reads, &s.listDown); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.instances)), nil
+}
+
+func (s *fakeStore) Register(ctx context.Context, in platform.Instance) error {
+	if err := s.try(ctx, &s.writes, &s.listDown); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[in.ID] = in
+	return nil
+}
+
+func (s *fakeStore) Deregister(ctx context.Context, id, incarnation string) error {
+	if err := s.try(ctx, &s.writes, &s.listDown); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.instances[id].Incarnation == incarnation {
+		delete(s.instances, id)
+	}
+	return nil
+}
+
+// accept stores tables as an operator's edit does.
+func (s *fakeStore) accept(t *table.Tables) {
+	name, data, err := tablestore.Encode(t)
+	if err != nil {
+		panic(err)
+	}
+	head, err := json.Marshal(tablestore.Head{Version: t.Version, EditID: "e", Author: "a", Object: name})
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = data
+	s.etag++
+	s.rows[tablestore.CurrentKey] = platform.Row{Key: tablestore.CurrentKey, ETag: fmt.Sprint("t", s.etag), Value: head, ModifiedAt: time.Now()}
+}
+
+// fakeNet carries calls between clusters of one test.
+type fakeNet struct {
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	handlers map[string]instance.Handler
+	loss     float64
+	// cut says whether messages from one address to another are lost.
+	cut      func(from, to string) bool
+	messages atomic.Int64
+	bytes    atomic.Int64
+}
+
+const linkDelay = 4 * time.Millisecond
+
+func newFakeNet(seed uint64) *fakeNet {
+	return &fakeNet{rnd: rand.New(rand.NewPCG(seed, 7)), handlers: map[string]instance.Handler{}}
+}
+
+func (n *fakeNet) float() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rnd.Float64()
+}
+
+// port is one instance's way into the net.
+type port struct {
+	net  *fakeNet
+	from string
+}
+
+func (p port) Call(ctx context.Context, to string, m instance.Method, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	h, err := p.net.carry(ctx, p.from, to, len(data))
+	if err != nil {
+		return err
+	}
+	answer, err := instance.Dispatch(ctx, h, m, data)
+	if err != nil {
+		return err
+	}
+	if data, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	if _, err := p.net.carry(ctx, to, p.from, len(data)); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+// carry takes one message over a link, or waits for the caller to give up.
+func (n *fakeNet) carry(ctx context.Context, from, to string, size int) (instance.Handler, error) {
+	n.messages.Add(1)
+	n.bytes.Add(int64(size))
+	lost := n.float() < n.loss
+	n.mu.Lock()
+	h, ok := n.handlers[to]
+	cut := n.cut != nil && n.cut(from, to)
+	n.mu.Unlock()
+	if lost || cut {
+		<-ctx.Done()
+		return nil, fault.Wrap(fault.KindPeerUnavailable, ctx.Err(), "lost")
+	}
+	time.Sleep(linkDelay)
+	if !ok {
+		return nil, fault.Wrap(fault.KindPeerUnavailable, syscall.ECONNREFUSED, "refused")
+	}
+	return h, nil
+}
+
+// node is one running cluster.
+type node struct {
+	*Cluster
+	cancel context.CancelFunc
+	addr   string
+	wg     conc.WaitGroup
+}
+
+// bench is a set of clusters over a fake net and store.
+type bench struct {
+	store *fakeStore
+	net   *fakeNet
+	nodes []*node
+	born  int
+	seeds []string
+}
+
+func newBench(seed uint64) *bench {
+	return &bench{store: newFakeStore(), net: newFakeNet(seed)}
+}
+
+// start runs one instance of zone.
+func (b *bench) start(id, zone string) *node {
+	b.born++
+	in := platform.Instance{
+		ID: id, Zone: zone, Region: "osrednja", Incarnation: fmt.Sprintf("%08d", b.born),
+		PeerAddress: id, CallerAddress: id, HopAddress: id, AdminAddress: id,
+	}
+	c := New(Config{
+		Self: in, Timing: DefaultTiming(), Tables: b.store, Objects: b.store, Instances: b.store,
+		Seeds: b.seeds, Peers: port{b.net, id}, Log: zap.NewNop(), Rand: b.net.float,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Cluster: c, cancel: cancel, addr: id}
+	b.net.mu.Lock()
+	b.net.handlers[id] = c.Handler()
+	b.net.mu.Unlock()
+	n.wg.Go(func() { _ = c.Run(ctx) })
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+// kill ends an instance without a word.
+func (b *bench) kill(n *node) {
+	b.net.mu.Lock()
+	delete(b.net.handlers, n.addr)
+	b.net.mu.Unlock()
+	n.cancel()
+	n.wg.Wait()
+	b.nodes = slices.DeleteFunc(b.nodes, func(o *node) bool { return o == n })
+}
+
+func (b *bench) stop() {
+	for _, n := range b.nodes {
+		n.cancel()
+	}
+	for _, n := range b.nodes {
+		n.wg.Wait()
+	}
+}
+
+// zoneName spreads instances over zones as evenly as the real sizes are.
+func zoneName(i, zones int) string { return fmt.Sprintf("zone-%02d", i%zones) }
+
+// testTables has two targets of four slots in each zone.
+func testTables(version uint64, zones int) *table.Tables {
+	t := &table.Tables{
+		Version: version,
+		Routes:  []table.Route{{Name: "feedlog", Pools: []table.PoolWeight{{Pool: "feedlog", Weight: 1}}}},
+		Pools:   []table.Pool{{Name: "feedlog", Region: "osrednja"}},
+		Regions: []table.Region{{Name: "osrednja"}},
+	}
+	for i := range 2 * zones {
+		t.Pools[0].Targets = append(t.Pools[0].Targets, table.Target{
+			Name: fmt.Sprintf("feedlog-%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Zone: zoneName(i, zones), Slots: 4,
+		})
+	}
+	return t.WithDefaults()
+}
+
+// usable adds up the shares of one limit that all running instances may use.
+func (b *bench) usable(target string) int {
+	sum := 0
+	for _, n := range b.nodes {
+		if sh := n.Shares(); time.Now().Before(sh.Expires) {
+			sum += sh.Slots[target]
+		}
+	}
+	return sum
+}
+
+// allInForce reports whether all instances have version in force.
+func (b *bench) allInForce(version uint64) bool {
+	for _, n := range b.nodes {
+		if t := n.Tables(); t == nil || t.Version != version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/cluster/handler.go
@@ -0,0 +1,102 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+)
+
+// server answers the calls of other instances.
+type server struct{ *Cluster }
+
+// Handler returns what answers the calls of other instances.
+func (c *Cluster) Handler() instance.Handler { return server{c} }
+
+// Heartbeat takes in a heartbeat and answers with what the sender lacks.
+func (c server) Heartbeat(_ context.Context, q *instance.HeartbeatRequest) (*instance.HeartbeatReply, error) {
+	if q.From.Zone != c.cfg.Self.Zone {
+		return nil, fault.New(fault.KindBadRequest, "heartbeat from zone %q in zone %q", q.From.Zone, c.cfg.Self.Zone)
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.ObserveHeartbeat(now, q.From)
+	c.reclaimer.ObserveAlive(keyOf(q.From))
+	c.inbox.Observe(now, q.Beat)
+	c.zones.observeOwn(now, q.From.ID, q.Summaries)
+	c.takePoison(now, q.Poison)
+	c.wakeWriter(&q.Beat)
+	c.offer(q.From, q.Tables)
+	return c.heartbeatReply(now, q), nil
+}
+
+// wakeWriter makes the row be written early when a holder waits for it.
+func (c *Cluster) wakeWriter(b *allowance.Heartbeat) {
+	h := c.ledger.Row().Holder(b.Key)
+	if h == nil && !b.Leaving || h != nil && (b.Leaving || len(b.Ceilings) > 0 || h.Acked < h.WitnessLayout && b.Layout >= h.WitnessLayout) {
+		signal(c.rowDue)
+	}
+}
+
+func (c *Cluster) heartbeatReply(now time.Time, q *instance.HeartbeatRequest) *instance.HeartbeatReply {
+	row := c.ledger.Row()
+	r := &instance.HeartbeatReply{
+		From: c.view.Self(), Tables: c.versions.InForce(),
+		RowVersion: row.Version, RowLayout: row.Layout,
+		Zones: c.zones.others(now), Poison: c.pushPoison(now),
+	}
+	if h := row.Holder(q.Beat.Key); h != nil {
+		r.Recorded = h.Renewal
+	}
+	if q.Beat.Layout < row.Layout {
+		r.Row = row
+	}
+	reports, digest := c.view.Reports(now)
+	if digest == q.Members {
+		r.Agree = true
+	} else {
+		r.Members = reports
+	}
+	return r
+}
+
+// Announce takes in that a higher version is in force at the sender.
+func (c server) Announce(_ context.Context, q *instance.AnnounceRequest) (*instance.AnnounceReply, error) {
+	c.mu.Lock()
+	c.view.ObserveHeartbeat(time.Now(), q.From)
+	c.offer(q.From, q.Version)
+	inForce := c.versions.InForce()
+	c.mu.Unlock()
+	return &instance.AnnounceReply{Version: inForce}, nil
+}
+
+// Tables returns the tables in force when they are above what the caller has.
+func (c server) Tables(_ context.Context, q *instance.TablesRequest) (*instance.TablesReply, error) {
+	t := c.tables.Load()
+	if t == nil || t.Version <= q.Have {
+		return &instance.TablesReply{}, nil
+	}
+	return &instance.TablesReply{Tables: t}, nil
+}
+
+// Lend answers a request for shares.
+func (c server) Lend(_ context.Context, q *instance.LendRequest) (*instance.LendReply, error) {
+	return &instance.LendReply{Loan: c.lend(time.Now(), q.Loan)}, nil
+}
+
+// Promise extends the lease of a holder of the zone.
+func (c server) Promise(_ context.Context, q *instance.PromiseRequest) (*instance.AgreeReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &instance.AgreeReply{Agreed: c.witness.Promise(time.Now(), c.ledger.Expires(), q.Promise)}, nil
+}
+
+// Consent agrees to extend the lease of a holder no more.
+func (c server) Consent(_ context.Context, q *instance.ConsentRequest) (*instance.AgreeReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &instance.AgreeReply{Agreed: c.witness.Consent(time.Now(), q.Consent)}, nil
+}
--- /dev/null
+++ b/pkg/cluster/heartbeat.go
@@ -0,0 +1,141 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+)
+
+// heartbeatLoop sends heartbeats to the watchers of the zone.
+func (c *Cluster) heartbeatLoop(ctx context.Context) {
+	for {
+		c.beat(ctx)
+		c.changed()
+		d := c.timing.Heartbeat
+		if !c.joined() {
+			d = c.timing.Join
+		}
+		if !sleep(ctx, c.jitter(d), c.beatDue) {
+			return
+		}
+	}
+}
+
+// joined reports whether the zone's row holds this instance.
+func (c *Cluster) joined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Row().Holder(c.self) != nil || c.leaving
+}
+
+// beat sends one heartbeat to each watcher and waits for the answers.
+func (c *Cluster) beat(ctx context.Context) {
+	sent := time.Now()
+	q, to := c.heartbeat(sent)
+	var wg conc.WaitGroup
+	for _, w := range to {
+		wg.Go(func() {
+			r := &instance.HeartbeatReply{}
+			if err := c.call(ctx, w, instance.MethodHeartbeat, q, r); err == nil {
+				c.heartbeatAnswered(w, r)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// heartbeat makes the message and chooses whom to send it to: the watchers,
+// and one suspected member so that it is found when it works again.
+func (c *Cluster) heartbeat(now time.Time) (*instance.HeartbeatRequest, []member.Info) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.measureUse(now)
+	c.publish(now)
+	beat := c.ledger.Heartbeat(now)
+	c.inbox.Observe(now, beat)
+	_, digest := c.view.Reports(now)
+	q := &instance.HeartbeatRequest{
+		From: c.view.Self(), Beat: beat, Tables: c.versions.InForce(), Rejected: c.versions.Rejected(),
+		Members: digest, Summaries: c.ownSummaries(now), Poison: c.pushPoison(now),
+	}
+	c.zones.observeOwn(now, c.self.ID, q.Summaries)
+	return q, c.receivers(now)
+}
+
+// receivers returns the members that a heartbeat goes to.
+func (c *Cluster) receivers(now time.Time) []member.Info {
+	ranked := c.ranked(now)
+	chosen := map[string]bool{}
+	for _, id := range ranked[:min(spread.Watchers, len(ranked))] {
+		chosen[id] = true
+	}
+	var to, suspects []member.Info
+	for _, m := range c.view.Zone(now, c.cfg.Self.Zone) {
+		switch {
+		case chosen[m.ID]:
+			to = append(to, m.Info)
+		case m.State == member.Suspect:
+			suspects = append(suspects, m.Info)
+		}
+	}
+	if len(to) == 0 {
+		to = c.seeds()
+	}
+	if len(suspects) > 0 {
+		to = append(to, suspects[int(c.cfg.Rand()*float64(len(suspects)))])
+	}
+	return to
+}
+
+// seeds returns the addresses to try while no live member is known.
+func (c *Cluster) seeds() []member.Info {
+	var to []member.Info
+	for _, a := range c.cfg.Seeds {
+		if a != c.cfg.Self.PeerAddress {
+			to = append(to, member.Info{Zone: c.cfg.Self.Zone, PeerAddress: a})
+		}
+	}
+	return to
+}
+
+// heartbeatAnswered takes in the answer of a watcher.
+func (c *Cluster) heartbeatAnswered(from member.Info, r *instance.HeartbeatReply) {
+	now := time.Now()
+	c.mu.Lock()
+	c.view.ObserveHeartbeat(now, r.From)
+	c.heard = now
+	if r.Row != nil {
+		c.observeRow(now, r.Row)
+	}
+	c.ledger.ObserveRenewal(now, r.RowVersion, r.RowLayout, r.Recorded)
+	for _, m := range r.Members {
+		c.view.ObserveReport(now, m)
+	}
+	if r.Agree {
+		c.view.ObserveAgreement(now)
+	}
+	for _, z := range r.Zones {
+		c.observeZone(now, z)
+	}
+	c.takePoison(now, r.Poison)
+	c.publish(now)
+	from.ID = r.From.ID
+	c.offer(from, r.Tables)
+	c.mu.Unlock()
+}
+
+// observeRow takes a row into all decisions that follow it.
+func (c *Cluster) observeRow(now time.Time, row *allowance.Row) {
+	if row.Validate() != nil {
+		return
+	}
+	c.ledger.ObserveRow(now, row)
+	c.reclaimer.ObserveRow(now, row)
+	c.witness.Forget(now, row)
+}
--- /dev/null
+++ b/pkg/cluster/row.go
@@ -0,0 +1,206 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+)
+
+const (
+	// rowPrefix starts the keys of the zones' rows.
+	rowPrefix = "zones/"
+	// rowSpacing is the least time between two writes of the row.
+	rowSpacing = 150 * time.Millisecond
+)
+
+// rowLoop writes the zone's row as the first of the watchers, reads it as one
+// of the others, and writes it as any holder whose lease nobody renews.
+func (c *Cluster) rowLoop(ctx context.Context) {
+	for {
+		switch {
+		case c.writes():
+			c.writeRow(ctx)
+		case c.isWatcher():
+			_ = c.readRow(ctx)
+		}
+		if !sleep(ctx, c.jitter(c.timing.Renew), c.rowDue) {
+			return
+		}
+		if !sleep(ctx, rowSpacing, nil) {
+			return
+		}
+	}
+}
+
+// writes reports whether this instance should write the row now.
+func (c *Cluster) writes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	ranked := c.ranked(now)
+	switch {
+	case spread.Position(ranked, c.self.ID) == 0:
+		return true
+	case c.leaving && len(ranked) == 0:
+		return true
+	}
+	return now.Sub(c.started) > c.timing.Renew && c.ledger.Overdue(now)
+}
+
+// readRow takes in the row when it has changed.
+func (c *Cluster) readRow(ctx context.Context) error {
+	var got platform.Row
+	var changed bool
+	err := c.store.read(ctx, func(ctx context.Context) (err error) {
+		got, changed, err = c.cfg.Tables.Get(ctx, rowPrefix+c.cfg.Self.Zone, c.etag)
+		return err
+	})
+	if err != nil || !changed {
+		return err
+	}
+	row, err := allowance.Decode(got.Value)
+	if err != nil {
+		return err
+	}
+	c.stored(row, got.ETag)
+	return nil
+}
+
+// stored takes in that the store holds row.
+func (c *Cluster) stored(row *allowance.Row, etag string) {
+	c.row, c.etag = row, etag
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.observeRow(now, row)
+	c.publish(now)
+}
+
+// writeRow reclaims what may be reclaimed and records the heartbeats.
+func (c *Cluster) writeRow(ctx context.Context) {
+	if c.etag == "" {
+		if err := c.readRow(ctx); err != nil {
+			return
+		}
+	}
+	c.reclaim(ctx)
+	next := c.plan()
+	if next == c.row {
+		return
+	}
+	if c.commit(ctx, next) {
+		return
+	}
+	if err := c.readRow(ctx); err != nil {
+		return
+	}
+	if next := c.plan(); next != c.row {
+		c.commit(ctx, next)
+	}
+}
+
+// plan makes the next row from the newest heartbeats.
+func (c *Cluster) plan() *allowance.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := allowance.Inputs{Heartbeats: c.inbox.Fresh(time.Now())}
+	if t := c.tables.Load(); t != nil {
+		in.Tables = t.Version
+		in.Limits = allowance.ZoneLimits(t, c.cfg.Self.Zone)
+	}
+	return allowance.Plan(c.row, in)
+}
+
+// commit writes next when the store still holds c.row, and reports whether
+// it did. An answer that was lost is resolved by reading back.
+func (c *Cluster) commit(ctx context.Context, next *allowance.Row) bool {
+	value, err := next.Encode()
+	if err != nil {
+		return false
+	}
+	var etags []string
+	err = c.store.write(ctx, func(ctx context.Context) (err error) {
+		etags, err = c.cfg.Tables.Commit(ctx, []platform.Write{{Key: rowPrefix + c.cfg.Self.Zone, IfMatch: c.etag, Value: value}})
+		return err
+	})
+	if err == nil && len(etags) == 1 {
+		c.stored(next, etags[0])
+		return true
+	}
+	if k := fault.KindOf(err); k == fault.KindStoreUnavailable {
+		return true
+	}
+	return false
+}
+
+// reclaim asks for what a reclaim needs and removes one holder when it may.
+func (c *Cluster) reclaim(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	silent := c.reclaimer.Silent(now)
+	var asks []allowance.Consent
+	for i := range c.row.Holders {
+		h := &c.row.Holders[i]
+		if h.Key != c.self && h.Address == c.cfg.Self.PeerAddress {
+			c.reclaimer.ObserveDeath(now, h.Key)
+		}
+	}
+	for _, k := range silent {
+		asks = append(asks, c.reclaimer.Consents(now, k)...)
+	}
+	c.mu.Unlock()
+	c.askConsents(ctx, asks)
+	c.mu.Lock()
+	var gone *allowance.Holder
+	for i := range c.row.Holders {
+		if h := &c.row.Holders[i]; c.reclaimer.MayReclaim(time.Now(), h.Key) {
+			gone = h
+			break
+		}
+	}
+	if gone != nil {
+		c.inbox.Forget(gone.Key)
+	}
+	c.mu.Unlock()
+	if gone != nil {
+		c.commit(ctx, allowance.Reclaim(c.row, gone.Key))
+	}
+}
+
+// askConsents asks the witnesses, this instance included.
+func (c *Cluster) askConsents(ctx context.Context, asks []allowance.Consent) {
+	var wg conc.WaitGroup
+	for _, a := range asks {
+		wg.Go(func() {
+			if c.askConsent(ctx, a) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.reclaimer.Consented(a)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *Cluster) askConsent(ctx context.Context, a allowance.Consent) bool {
+	c.mu.Lock()
+	if a.Witness == c.self {
+		defer c.mu.Unlock()
+		return c.witness.Consent(time.Now(), a)
+	}
+	to, ok := c.find(a.Witness)
+	c.mu.Unlock()
+	if !ok {
+		return false
+	}
+	r := &instance.AgreeReply{}
+	err := c.call(ctx, to, instance.MethodConsent, &instance.ConsentRequest{Consent: a}, r)
+	return err == nil && r.Agreed
+}
--- a/pkg/decision/allowance/ledger.go
+++ b/pkg/decision/allowance/ledger.go
@@ -33,6 +33,7 @@
 	leaving   bool
 
 	inUse    Counts
+	usedAt   map[Limit]time.Time // when this holder last used a share
 	lent     map[Key]map[Limit]lending
 	borrowed map[Key]map[Limit]borrowing
 	nextLoan uint64
@@ -45,6 +46,7 @@
 		row:      &Row{},
 		promised: map[Key]time.Time{},
 		inUse:    Counts{},
+		usedAt:   map[Limit]time.Time{},
 		lent:     map[Key]map[Limit]lending{},
 		borrowed: map[Key]map[Limit]borrowing{},
 	}
@@ -62,7 +64,14 @@
 }
 
 // SetInUse tells the ledger which shares serve requests now.
-func (g *Ledger) SetInUse(inUse Counts) { g.inUse = inUse }
+func (g *Ledger) SetInUse(now time.Time, inUse Counts) {
+	g.inUse = inUse
+	for l, n := range inUse {
+		if n > 0 {
+			g.usedAt[l] = now
+		}
+	}
+}
 
 // Heartbeat returns the next heartbeat, to be sent after now.
 func (g *Ledger) Heartbeat(now time.Time) Heartbeat {
@@ -136,15 +145,18 @@
 	g.renew(now, g.own.Renewal)
 }
 
-// ObserveRenewal takes in that version of the row, whose layout is the one
-// already seen, records heartbeat number of this holder.
+// ObserveRenewal takes in that a version of the row, whose layout is the one
+// already seen, records heartbeat number of this holder. An older version is
+// as good as a newer: a reclaimer waits after each renewal that was recorded.
 func (g *Ledger) ObserveRenewal(now time.Time, version, layout, number uint64) {
-	if g.own == nil || layout != g.row.Layout || version <= g.row.Version {
+	if g.own == nil || layout != g.row.Layout {
 		return
 	}
-	next := *g.row
-	next.Version = version
-	g.row = &next
+	if version > g.row.Version {
+		next := *g.row
+		next.Version = version
+		g.row = &next
+	}
 	g.renew(now, number)
 }
 
@@ -214,6 +226,11 @@
 	}
 }
 
+// Overdue reports whether no renewal has been recorded for half a lease.
+func (g *Ledger) Overdue(now time.Time) bool {
+	return now.Sub(g.renewedAt) >= g.timing.Lease/2
+}
+
 // Expires returns when this holder's right to its grants ends.
 func (g *Ledger) Expires() time.Time {
 	if g.own == nil || g.renewedAt.IsZero() {
--- a/pkg/decision/allowance/loan.go
+++ b/pkg/decision/allowance/loan.go
@@ -6,6 +6,10 @@
 // the end of one loan does not interrupt the use of the other shares.
 const loanGuard = 500 * time.Millisecond
 
+// keepAfterUse is how long after its last use a holder keeps back half of
+// what is free.
+const keepAfterUse = 2 * time.Second
+
 // lending is what this holder has lent to one other.
 type lending struct {
 	count int
@@ -19,6 +23,7 @@
 	count int
 	until time.Time
 	loan  uint64 // answers up to this request are ignored
+	asked time.Time
 }
 
 // LoanRequest asks a holder to lend Count shares of Limit in all, those that
@@ -43,7 +48,7 @@
 // AskLoan returns a request for count shares of l from giver in all. Zero
 // gives back what is borrowed. Shares above count are not used from now on,
 // and answers to earlier requests are ignored.
-func (g *Ledger) AskLoan(giver Key, l Limit, count int) LoanRequest {
+func (g *Ledger) AskLoan(now time.Time, giver Key, l Limit, count int) LoanRequest {
 	g.nextLoan++
 	if g.borrowed[giver] == nil {
 		g.borrowed[giver] = map[Limit]borrowing{}
@@ -51,6 +56,7 @@
 	b := g.borrowed[giver][l]
 	b.count = min(b.count, count)
 	b.loan = g.nextLoan - 1
+	b.asked = now
 	g.borrowed[giver][l] = b
 	return LoanRequest{Taker: g.self, Giver: giver, Limit: l, Count: count, Number: g.nextLoan}
 }
@@ -68,7 +74,7 @@
 	if !now.Before(old.until) {
 		old.count = 0
 	}
-	count := min(q.Count, old.count+max(g.free(now, q.Limit), 0))
+	count := min(q.Count, old.count+g.spare(now, q.Limit))
 	d := min(left, g.timing.Loan)
 	g.setLending(q, lending{count: count, until: later(now.Add(d), old.until), loan: q.Number, prior: min(old.count, q.Count)})
 	if count <= 0 {
@@ -96,6 +102,16 @@
 
 // pruneLoans drops loans that ended.
 func (g *Ledger) pruneLoans(now time.Time) {
+	for giver, by := range g.borrowed {
+		for l, b := range by {
+			if now.Sub(b.until) > g.timing.Lease && now.Sub(b.asked) > g.timing.Lease {
+				delete(by, l)
+			}
+		}
+		if len(by) == 0 {
+			delete(g.borrowed, giver)
+		}
+	}
 	for taker, by := range g.lent {
 		for l, ln := range by {
 			if now.Sub(ln.until) > g.timing.Lease {
@@ -127,7 +143,7 @@
 	if ln.Number <= old.loan {
 		return
 	}
-	g.borrowed[q.Giver][q.Limit] = borrowing{count: ln.Count, until: asked.Add(ln.Duration), loan: ln.Number}
+	g.borrowed[q.Giver][q.Limit] = borrowing{count: ln.Count, until: asked.Add(ln.Duration), loan: ln.Number, asked: old.asked}
 }
 
 // borrowedOf returns the shares of l that are borrowed and usable at now.
@@ -180,6 +196,16 @@
 	return g.usableOwn(now, l) - own
 }
 
+// spare returns the shares of l to lend: all that are free, but half of them
+// when this holder has used some lately.
+func (g *Ledger) spare(now time.Time, l Limit) int {
+	free := max(g.free(now, l), 0)
+	if now.Sub(g.usedAt[l]) < keepAfterUse {
+		return free / 2
+	}
+	return free
+}
+
 // Shares is what a holder may use until Expires.
 type Shares struct {
 	Expires time.Time
--- a/pkg/decision/allowance/plan.go
+++ b/pkg/decision/allowance/plan.go
@@ -93,10 +93,11 @@
 	return renewed, changed
 }
 
-// add inserts a new holder without shares.
+// add inserts a new holder without shares. It counts as having seen this
+// version, since it can't have used any earlier witnesses.
 func (r *Row) add(hb *Heartbeat) {
 	r.Holders = append(r.Holders, Holder{
-		Key: hb.Key, Address: hb.Address, Renewal: hb.Number,
+		Key: hb.Key, Address: hb.Address, Renewal: hb.Number, Acked: r.Version,
 		Grants: Counts{}, Caps: Counts{}, WitnessLayout: r.Version,
 	})
 	sort.Slice(r.Holders, func(i, j int) bool { return r.Holders[i].Less(r.Holders[j].Key) })
--- a/pkg/decision/allowance/reclaim.go
+++ b/pkg/decision/allowance/reclaim.go
@@ -133,7 +133,7 @@
 // allConsent reports whether no witness may extend the lease any more.
 func (c *Reclaimer) allConsent(now time.Time, h *Holder, s *silence) bool {
 	for _, set := range h.witnessSets() {
-		if len(set) == 0 && h.Acked > 0 {
+		if len(set) == 0 {
 			return false
 		}
 		for _, w := range set {
--- /dev/null
+++ b/pkg/decision/member/member.go
@@ -0,0 +1,277 @@
+// Package member joins the platform's lagging list of instances with the
+// heartbeats of this zone and the reports of others into one view of who may
+// be used. The package is pure: the time is an argument, and it does no I/O.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Info describes one incarnation of an instance.
+type Info struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	Incarnation string `json:"incarnation"`
+	// The IP addresses and ports of the listeners.
+	CallerAddress string `json:"caller_address,omitempty"`
+	HopAddress    string `json:"hop_address,omitempty"`
+	PeerAddress   string `json:"peer_address,omitempty"`
+	AdminAddress  string `json:"admin_address,omitempty"`
+	// Leaving is set once the instance stops. It holds for the incarnation.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// State says what an instance may be used for.
+type State uint8
+
+// The states.
+const (
+	// Alive: it gets new work.
+	Alive State = iota
+	// Leaving: it gets no new work and finishes what it has.
+	Leaving
+	// Suspect: it has been silent or unreachable; it gets no new work and is
+	// still sent heartbeats.
+	Suspect
+)
+
+// Member is one entry of the view.
+type Member struct {
+	Info
+	State State
+	// Heard is when anyone last heard from it.
+	Heard time.Time
+}
+
+// Timing holds the durations of the view.
+type Timing struct {
+	// Suspect is the silence after which a member of the zone is suspected.
+	Suspect time.Duration
+	// Grace is how long an instance that is only listed counts as alive.
+	Grace time.Duration
+	// Forget is the silence after which an unlisted member is dropped.
+	Forget time.Duration
+}
+
+// DefaultTiming returns the durations for normal use.
+func DefaultTiming() Timing {
+	return Timing{Suspect: 3 * time.Second, Grace: 5 * time.Second, Forget: 30 * time.Second}
+}
+
+// entry is what is known of one instance.
+type entry struct {
+	info    Info
+	heard   time.Time // zero when only listed
+	first   time.Time // when the incarnation was first seen anywhere
+	failing time.Time // when calls to it began to fail; zero when they work
+	absent  time.Time // when its own zone reported it silent; zero when not
+	listed  bool
+}
+
+// View is one instance's view of all instances. It is not safe for
+// concurrent use.
+type View struct {
+	self    Info
+	timing  Timing
+	entries map[string]*entry
+}
+
+// New returns a view that holds self only.
+func New(self Info, timing Timing) *View {
+	return &View{self: self, timing: timing, entries: map[string]*entry{}}
+}
+
+// Self returns this instance's own entry.
+func (v *View) Self() Info { return v.self }
+
+// Leave marks this instance as leaving.
+func (v *View) Leave() { v.self.Leaving = true }
+
+// admit returns the entry for in, replacing that of an older incarnation. It
+// returns nil when in is older than what is known.
+func (v *View) admit(now time.Time, in Info) *entry {
+	if in.ID == v.self.ID || in.ID == "" {
+		return nil
+	}
+	e := v.entries[in.ID]
+	if e == nil || in.Incarnation > e.info.Incarnation || (in.Incarnation != e.info.Incarnation && v.silentFor(now, e) > v.timing.Forget) {
+		e = &entry{info: in, first: now}
+		v.entries[in.ID] = e
+		return e
+	}
+	if in.Incarnation != e.info.Incarnation {
+		return nil
+	}
+	leaving := e.info.Leaving || in.Leaving
+	e.info = in
+	e.info.Leaving = leaving
+	return e
+}
+
+func (v *View) silentFor(now time.Time, e *entry) time.Duration {
+	if e.heard.IsZero() {
+		return now.Sub(e.first)
+	}
+	return now.Sub(e.heard)
+}
+
+// ObserveList takes in the platform's list.
+func (v *View) ObserveList(now time.Time, list []Info) {
+	for _, e := range v.entries {
+		e.listed = false
+	}
+	for _, in := range list {
+		if e := v.admit(now, in); e != nil {
+			e.listed = true
+		}
+	}
+	for id, e := range v.entries {
+		if !e.listed && v.silentFor(now, e) > v.timing.Forget {
+			delete(v.entries, id)
+		}
+	}
+}
+
+// ObserveHeartbeat takes in a message from the instance itself.
+func (v *View) ObserveHeartbeat(now time.Time, in Info) {
+	if e := v.admit(now, in); e != nil {
+		e.heard = now
+		e.absent = time.Time{}
+	}
+}
+
+// Report is what one instance tells another about a third.
+type Report struct {
+	Info
+	// Age is how long ago it was heard from.
+	Age time.Duration `json:"age"`
+}
+
+// ObserveReport takes in a report from a peer of the zone.
+func (v *View) ObserveReport(now time.Time, r Report) {
+	e := v.admit(now, r.Info)
+	if e == nil {
+		return
+	}
+	if at := now.Add(-r.Age); at.After(e.heard) {
+		e.heard = at
+	}
+}
+
+// ObserveAgreement takes in that a peer of the zone sees the same members alive.
+func (v *View) ObserveAgreement(now time.Time) {
+	for _, e := range v.entries {
+		if e.info.Zone == v.self.Zone && !e.heard.IsZero() && v.silentFor(now, e) < v.timing.Suspect {
+			e.heard = now
+		}
+	}
+}
+
+// ObserveAbsent takes in that the instance's own zone has not heard from it.
+func (v *View) ObserveAbsent(now time.Time, id, incarnation string, absent bool) {
+	e := v.entries[id]
+	if e == nil || e.info.Incarnation != incarnation {
+		return
+	}
+	if !absent {
+		e.absent = time.Time{}
+	} else if e.absent.IsZero() {
+		e.absent = now
+	}
+}
+
+// ObserveCall takes in how a call to the instance ended.
+func (v *View) ObserveCall(now time.Time, id string, ok bool) {
+	e := v.entries[id]
+	if e == nil {
+		return
+	}
+	if ok {
+		e.failing = time.Time{}
+		return
+	}
+	if e.failing.IsZero() {
+		e.failing = now
+	}
+}
+
+// state decides what e may be used for.
+func (v *View) state(now time.Time, e *entry) State {
+	if e.info.Leaving {
+		return Leaving
+	}
+	if !e.failing.IsZero() && now.Sub(e.failing) >= v.timing.Suspect {
+		return Suspect
+	}
+	if e.info.Zone != v.self.Zone {
+		if !e.absent.IsZero() {
+			return Suspect
+		}
+		return Alive
+	}
+	if e.heard.IsZero() {
+		if e.listed && now.Sub(e.first) < v.timing.Grace {
+			return Alive
+		}
+		return Suspect
+	}
+	if now.Sub(e.heard) >= v.timing.Suspect {
+		return Suspect
+	}
+	return Alive
+}
+
+// Members returns all members but self, by zone and id.
+func (v *View) Members(now time.Time) []Member {
+	ms := make([]Member, 0, len(v.entries))
+	for _, e := range v.entries {
+		ms = append(ms, Member{Info: e.info, State: v.state(now, e), Heard: e.heard})
+	}
+	sort.Slice(ms, func(i, j int) bool {
+		if ms[i].Zone != ms[j].Zone {
+			return ms[i].Zone < ms[j].Zone
+		}
+		return ms[i].ID < ms[j].ID
+	})
+	return ms
+}
+
+// Zone returns the members of one zone but self.
+func (v *View) Zone(now time.Time, zone string) []Member {
+	var ms []Member
+	for _, m := range v.Members(now) {
+		if m.Zone == zone {
+			ms = append(ms, m)
+		}
+	}
+	return ms
+}
+
+// Reports returns what to tell a peer of the zone, with a digest that is
+// equal when both see the same members in the same states.
+func (v *View) Reports(now time.Time) (reports []Report, digest uint64) {
+	all := append(v.Zone(now, v.self.Zone), Member{Info: v.self, State: v.selfState(), Heard: now})
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	d := xxhash.New()
+	for _, m := range all {
+		if m.State == Suspect {
+			continue
+		}
+		_, _ = d.WriteString(m.ID + "\x00" + m.Incarnation + "\x00" + string('0'+rune(m.State)) + "\n")
+		if !m.Heard.IsZero() {
+			reports = append(reports, Report{Info: m.Info, Age: now.Sub(m.Heard)})
+		}
+	}
+	return reports, d.Sum64()
+}
+
+func (v *View) selfState() State {
+	if v.self.Leaving {
+		return Leaving
+	}
+	return Alive
+}
--- /dev/null
+++ b/pkg/peer/instance/messages.go
@@ -0,0 +1,152 @@
+// Package instance is the protocol between the instances of the system:
+// typed JSON-RPC 2.0 calls over TCP, with bounded messages and connections,
+// timeouts, and optional mutual TLS.
+package instance
+
+import (
+	"context"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// Method names one call.
+type Method string
+
+// The methods.
+const (
+	MethodHeartbeat Method = "instance.heartbeat"
+	MethodAnnounce  Method = "instance.announce"
+	MethodTables    Method = "instance.tables"
+	MethodLend      Method = "instance.lend"
+	MethodPromise   Method = "instance.promise"
+	MethodConsent   Method = "instance.consent"
+	MethodZone      Method = "instance.zone"
+)
+
+// HeartbeatRequest is sent by every instance to the watchers of its zone.
+type HeartbeatRequest struct {
+	From member.Info         `json:"from"`
+	Beat allowance.Heartbeat `json:"beat"`
+	// Tables and Rejected are the versions in force and unreadable.
+	Tables   uint64 `json:"tables"`
+	Rejected uint64 `json:"rejected,omitempty"`
+	// Members digests the sender's view of the zone.
+	Members uint64 `json:"members"`
+	// Summaries are the sender's own part of the zone's headroom.
+	Summaries []Summary `json:"summaries,omitempty"`
+	// Poison are the sender's records of requests that cost targets.
+	Poison []poison.Record `json:"poison,omitempty"`
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	From   member.Info `json:"from"`
+	Tables uint64      `json:"tables"`
+	// Row is set when the sender has not seen its layout.
+	Row *allowance.Row `json:"row,omitempty"`
+	// RowVersion and RowLayout are the receiver's newest; Recorded is the
+	// number of the sender's newest heartbeat recorded in it.
+	RowVersion uint64 `json:"row_version"`
+	RowLayout  uint64 `json:"row_layout"`
+	Recorded   uint64 `json:"recorded"`
+	// Members is set when the digests differ.
+	Members []member.Report `json:"members,omitempty"`
+	Agree   bool            `json:"agree,omitempty"`
+	// Zones are the summaries of other zones.
+	Zones  []ZoneReport    `json:"zones,omitempty"`
+	Poison []poison.Record `json:"poison,omitempty"`
+}
+
+// Summary is a headroom with its age in place of a time, since the clocks of
+// two instances differ.
+type Summary struct {
+	steer.ZoneSummary
+	AgeMS int64 `json:"age_ms"`
+}
+
+// ZoneReport is what the instances of a zone tell those of others.
+type ZoneReport struct {
+	Zone      string    `json:"zone"`
+	Summaries []Summary `json:"summaries,omitempty"`
+	// Absent are instances that the zone has not heard from lately.
+	Absent []allowance.Key `json:"absent,omitempty"`
+	// Leaving are instances that have begun to stop.
+	Leaving []allowance.Key `json:"leaving,omitempty"`
+	AgeMS   int64           `json:"age_ms"`
+}
+
+// AnnounceRequest tells that a version is in force at the sender.
+type AnnounceRequest struct {
+	From    member.Info `json:"from"`
+	Version uint64      `json:"version"`
+}
+
+// AnnounceReply holds the version in force at the receiver.
+type AnnounceReply struct {
+	Version uint64 `json:"version"`
+}
+
+// TablesRequest asks for the tables above the version Have.
+type TablesRequest struct {
+	Have uint64 `json:"have"`
+}
+
+// TablesReply holds the tables in force, or nothing when Have is as high.
+type TablesReply struct {
+	Tables *table.Tables `json:"tables,omitempty"`
+}
+
+// LendRequest asks for a loan of shares.
+type LendRequest struct {
+	Loan allowance.LoanRequest `json:"loan"`
+}
+
+// LendReply answers a LendRequest.
+type LendReply struct {
+	Loan allowance.Loan `json:"loan"`
+}
+
+// PromiseRequest asks a witness to extend a lease.
+type PromiseRequest struct {
+	Promise allowance.Promise `json:"promise"`
+}
+
+// ConsentRequest asks a witness not to extend a lease any more.
+type ConsentRequest struct {
+	Consent allowance.Consent `json:"consent"`
+}
+
+// AgreeReply answers a PromiseRequest or a ConsentRequest.
+type AgreeReply struct {
+	Agreed bool `json:"agreed"`
+}
+
+// ZoneRequest exchanges the reports of two zones.
+type ZoneRequest struct {
+	From   member.Info     `json:"from"`
+	Tables uint64          `json:"tables"`
+	Report ZoneReport      `json:"report"`
+	Poison []poison.Record `json:"poison,omitempty"`
+}
+
+// ZoneReply answers a ZoneRequest.
+type ZoneReply struct {
+	Tables uint64          `json:"tables"`
+	Report ZoneReport      `json:"report"`
+	Poison []poison.Record `json:"poison,omitempty"`
+}
+
+// Handler answers the calls of other instances. Its methods must not block.
+type Handler interface {
+	Heartbeat(ctx context.Context, q *HeartbeatRequest) (*HeartbeatReply, error)
+	Announce(ctx context.Context, q *AnnounceRequest) (*AnnounceReply, error)
+	Tables(ctx context.Context, q *TablesRequest) (*TablesReply, error)
+	Lend(ctx context.Context, q *LendRequest) (*LendReply, error)
+	Promise(ctx context.Context, q *PromiseRequest) (*AgreeReply, error)
+	Consent(ctx context.Context, q *ConsentRequest) (*AgreeReply, error)
+	Zone(ctx context.Context, q *ZoneRequest) (*ZoneReply, error)
+}
