Let the cluster put the shares into the decisions itself

Cause: the node read the shares and set them a moment later. A loan that was subtracted in between would have been in use at both ends.

Weighed: a lock around both in the node (held by the path of news only, but the cluster would call into it from its own lock); a version on the shares (the decisions would have to compare it). Chosen: a cluster that implements Attacher gets the decisions and is the only one to set shares.

Conclusion: additive in pkg/node; a cluster without Attach works as before.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -86,7 +86,9 @@
 // Attach connects the decisions that use the shares. Call it before Run. From
 // then on only the Cluster may set the shares of core, since a share that is
 // lent must be out of use before it is offered.
-func (c *Cluster) Attach(core Core) {
+func (c *Cluster) Attach(core *steer.Core) { c.attach(core) }
+
+func (c *Cluster) attach(core Core) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core = core
--- a/pkg/node/cluster.go
+++ b/pkg/node/cluster.go
@@ -31,3 +31,11 @@
 	// HandBack gives back what this instance holds, once nothing is in flight.
 	HandBack(ctx context.Context) error
 }
+
+// Attacher is a Cluster that puts the shares into the decisions itself. A
+// share that is lent must be out of use before it is offered, which a value
+// that is read and set later can't ensure.
+type Attacher interface {
+	// Attach is called once, before Run.
+	Attach(core *steer.Core)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -52,6 +52,8 @@
 	stage     atomic.Int32
 	inFlight  atomic.Int64
 	now       func() time.Time
+	// attached is set when the cluster sets the shares itself.
+	attached bool
 }
 
 // tickInterval is the time between two looks at the queued requests.
@@ -71,6 +73,10 @@
 		waiters:   newWaiters(),
 		now:       time.Now,
 	}
+	if a, ok := c.Cluster.(Attacher); ok {
+		a.Attach(n.core)
+		n.attached = true
+	}
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -121,7 +127,9 @@
 	n.refresh()
 	if t := n.cluster.Tables(); t != nil {
 		n.core.SetTables(now, t)
-		n.core.SetShares(now, n.cluster.Shares())
+		if !n.attached {
+			n.core.SetShares(now, n.cluster.Shares())
+		}
 	}
 	for _, s := range n.cluster.Summaries() {
 		n.core.ObserveZone(now, s)
