--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -234,15 +234,8 @@
 	return err
 }
 
-// find returns the member with key k.
-func (c *Cluster) find(k allowance.Key) (member.Info, bool) {
-	for _, m := range c.view.Members(time.Now()) {
-		if keyOf(m.Info) == k {
-			return m.Info, true
-		}
-	}
-	return member.Info{}, false
-}
+// find returns the member with key k. The caller holds mu.
+func (c *Cluster) find(k allowance.Key) (member.Info, bool) { return c.view.Find(k.ID, k.Incarnation) }
 
 // ranked returns the ids of the zone's live members and self in the order of
 // the watchers' role.
--- a/pkg/decision/allowance/ledger_test.go
+++ b/pkg/decision/allowance/ledger_test.go
@@ -186,3 +186,20 @@
 		t.Error("the broken rule was not caught")
 	}
 }
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"version":2,"layout":1,"tables":1,"holders":[{"id":"a","incarnation":"1","grants":{"target/x":2},"witnesses":[{"id":"b","incarnation":"1"}]}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		row, err := Decode(value)
+		if err != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		g := NewLedger(keyA, "a", worldTiming(), Rules{})
+		g.ObserveRow(now, row)
+		next := Plan(row, Inputs{Tables: row.Tables, Limits: Counts{worldLimit: 7}, Heartbeats: []Heartbeat{g.Heartbeat(now)}})
+		if err := next.Validate(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -227,9 +227,21 @@
 
 // Members returns all members but self, by zone and id.
 func (v *View) Members(now time.Time) []Member {
-	ms := make([]Member, 0, len(v.entries))
+	return v.pick(now, func(*Info) bool { return true })
+}
+
+// Zone returns the members of one zone but self, by id.
+func (v *View) Zone(now time.Time, zone string) []Member {
+	return v.pick(now, func(in *Info) bool { return in.Zone == zone })
+}
+
+// pick returns the members that match, by zone and id.
+func (v *View) pick(now time.Time, match func(*Info) bool) []Member {
+	var ms []Member
 	for _, e := range v.entries {
-		ms = append(ms, Member{Info: e.info, State: v.state(now, e), Heard: e.heard})
+		if match(&e.info) {
+			ms = append(ms, Member{Info: e.info, State: v.state(now, e), Heard: e.heard})
+		}
 	}
 	sort.Slice(ms, func(i, j int) bool {
 		if ms[i].Zone != ms[j].Zone {
@@ -240,15 +252,14 @@
 	return ms
 }
 
-// Zone returns the members of one zone but self.
-func (v *View) Zone(now time.Time, zone string) []Member {
-	var ms []Member
-	for _, m := range v.Members(now) {
-		if m.Zone == zone {
-			ms = append(ms, m)
-		}
+// Find returns the given incarnation of an instance, and false when another
+// one or none is known.
+func (v *View) Find(id, incarnation string) (Info, bool) {
+	e := v.entries[id]
+	if e == nil || e.info.Incarnation != incarnation {
+		return Info{}, false
 	}
-	return ms
+	return e.info, true
 }
 
 // Reports returns what to tell a peer of the zone, with a digest that is
--- /dev/null
+++ b/pkg/decision/member/member_test.go
@@ -0,0 +1,140 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func info(id, incarnation string) Info {
+	return Info{ID: id, Zone: "osrednja-a", Region: "osrednja", Incarnation: incarnation, PeerAddress: id}
+}
+
+func newView() *View { return New(info("self", "1"), DefaultTiming()) }
+
+func stateOf(t *testing.T, v *View, now time.Time, id string) State {
+	t.Helper()
+	for _, m := range v.Members(now) {
+		if m.ID == id {
+			return m.State
+		}
+	}
+	t.Fatalf("%s is not in the view", id)
+	return Suspect
+}
+
+func TestSilentMemberIsSuspectedAndComesBack(t *testing.T) {
+	v := newView()
+	v.ObserveHeartbeat(start, info("a", "1"))
+	if s := stateOf(t, v, start.Add(2900*time.Millisecond), "a"); s != Alive {
+		t.Errorf("state before the bound = %v", s)
+	}
+	if s := stateOf(t, v, start.Add(3*time.Second), "a"); s != Suspect {
+		t.Errorf("state at the bound = %v", s)
+	}
+	v.ObserveHeartbeat(start.Add(4*time.Second), info("a", "1"))
+	if s := stateOf(t, v, start.Add(4*time.Second), "a"); s != Alive {
+		t.Errorf("state after it spoke = %v", s)
+	}
+}
+
+func TestMemberThatSpeaksButCanNotBeReachedIsSuspected(t *testing.T) {
+	v := newView()
+	for i := range 5 {
+		now := start.Add(time.Duration(i) * time.Second)
+		v.ObserveHeartbeat(now, info("a", "1"))
+		v.ObserveCall(now, "a", false)
+	}
+	if s := stateOf(t, v, start.Add(4*time.Second), "a"); s != Suspect {
+		t.Errorf("state = %v", s)
+	}
+	v.ObserveCall(start.Add(4*time.Second), "a", true)
+	if s := stateOf(t, v, start.Add(4*time.Second), "a"); s != Alive {
+		t.Errorf("state after a call went through = %v", s)
+	}
+}
+
+func TestListedMemberCountsAsAliveForAGraceOnly(t *testing.T) {
+	v := newView()
+	v.ObserveList(start, []Info{info("a", "1")})
+	if s := stateOf(t, v, start.Add(time.Second), "a"); s != Alive {
+		t.Errorf("state = %v", s)
+	}
+	if s := stateOf(t, v, start.Add(6*time.Second), "a"); s != Suspect {
+		t.Errorf("state after the grace = %v", s)
+	}
+}
+
+func TestUnlistedSilentMemberIsDropped(t *testing.T) {
+	v := newView()
+	v.ObserveHeartbeat(start, info("a", "1"))
+	v.ObserveList(start.Add(time.Minute), nil)
+	if n := len(v.Members(start.Add(time.Minute))); n != 0 {
+		t.Errorf("%d members stay", n)
+	}
+}
+
+func TestReportsOfEqualViewsHaveEqualDigests(t *testing.T) {
+	a, b := New(info("a", "1"), DefaultTiming()), New(info("b", "1"), DefaultTiming())
+	a.ObserveHeartbeat(start, info("b", "1"))
+	b.ObserveHeartbeat(start.Add(time.Second), info("a", "1"))
+	now := start.Add(time.Second)
+	_, da := a.Reports(now)
+	_, db := b.Reports(now)
+	if da != db {
+		t.Error("equal views, different digests")
+	}
+	b.Leave()
+	if _, db = b.Reports(now); da == db {
+		t.Error("a member leaves, the digest stays")
+	}
+}
+
+// Whatever arrives in whatever order, an older incarnation replaces no newer
+// one that spoke lately, and leaving holds for the incarnation.
+func TestIncarnationsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newView()
+		now := start
+		newest, left := map[string]string{}, map[Info]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			in := info(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "incarnation")))
+			key := in
+			in.Leaving = rapid.Bool().Draw(t, "leaving")
+			switch rapid.IntRange(0, 2).Draw(t, "source") {
+			case 0:
+				v.ObserveHeartbeat(now, in)
+			case 1:
+				v.ObserveList(now, []Info{in})
+			case 2:
+				v.ObserveReport(now, Report{Info: in, Age: time.Second})
+			}
+			newest[in.ID] = max(newest[in.ID], in.Incarnation)
+			if in.Incarnation == newest[in.ID] && in.Leaving {
+				left[key] = true
+			}
+			for _, m := range v.Members(now) {
+				if m.Incarnation != newest[m.ID] {
+					t.Fatalf("%s has incarnation %s after %s", m.ID, m.Incarnation, newest[m.ID])
+				}
+				if key := info(m.ID, m.Incarnation); left[key] && !m.Leaving {
+					t.Fatalf("%s leaves no more", m.ID)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/decision/spread/spread_test.go
@@ -0,0 +1,87 @@
+package spread
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var v Versions
+		var highest uint64
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			offered := uint64(rapid.IntRange(0, 9).Draw(t, "version"))
+			if !v.Wanted(offered) {
+				if offered > highest {
+					t.Fatalf("version %d is not wanted above %d", offered, highest)
+				}
+				continue
+			}
+			if rapid.Bool().Draw(t, "readable") {
+				v.Accept(offered)
+				highest = max(highest, offered)
+			} else {
+				v.Reject(offered)
+			}
+			if v.InForce() != highest {
+				t.Fatalf("in force %d after %d", v.InForce(), highest)
+			}
+			if r := v.Rejected(); r != 0 && r <= v.InForce() {
+				t.Fatalf("version %d counts as rejected below %d", r, v.InForce())
+			}
+		}
+	})
+}
+
+func TestRankOfTheOthersStaysWhenOneGoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "n")
+		ids := make([]string, n)
+		for i := range ids {
+			ids[i] = fmt.Sprintf("instance-%d", i)
+		}
+		gone := ids[rapid.IntRange(0, n-1).Draw(t, "gone")]
+		before := Rank("zone", ids)
+		without := func(list []string) []string {
+			return slices.DeleteFunc(slices.Clone(list), func(id string) bool { return id == gone })
+		}
+		if after := Rank("zone", without(ids)); !slices.Equal(after, without(before)) {
+			t.Fatalf("%v became %v", before, after)
+		}
+	})
+}
+
+func TestReadsOfTheStoreFitItsBudget(t *testing.T) {
+	const instances, zones, budget = 6000, 79, 2000
+	timing := DefaultTiming()
+	mean := func(s Situation) float64 {
+		sum := time.Duration(0)
+		for i := range 100 {
+			sum += timing.Next(s, float64(i)/100)
+		}
+		return sum.Seconds() / 100
+	}
+	watchers := float64(zones * Watchers)
+	reads := watchers/mean(Situation{Watcher: true, HasTables: true}) +
+		(instances-watchers)/mean(Situation{HasTables: true})
+	if reads > budget/2 {
+		t.Errorf("%.0f reads a second of %d", reads, budget)
+	}
+	orphans := instances / mean(Situation{HasTables: true, SinceHeard: time.Minute})
+	if orphans > budget {
+		t.Errorf("%.0f reads a second of %d when all are on their own", orphans, budget)
+	}
+}
--- a/pkg/peer/instance/client.go
+++ b/pkg/peer/instance/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"net"
@@ -36,6 +35,7 @@
 type dialed struct {
 	ready chan struct{}
 	conn  *jsonrpc2.Conn
+	net   *deadlineConn
 	err   error
 	used  time.Time
 }
@@ -64,6 +64,9 @@
 		return remoteError(address, answered)
 	}
 	c.drop(address, d)
+	if read := d.net.readErr.Load(); read != nil && errors.Is(err, jsonrpc2.ErrClosed) {
+		err = *read
+	}
 	if isRejection(err) {
 		return fault.Wrap(fault.KindPeerRejected, err, "instance at %s refuses the certificate", address)
 	}
@@ -82,7 +85,7 @@
 	d.used = time.Now()
 	c.mu.Unlock()
 	if !ok {
-		d.conn, d.err = c.dial(ctx, address)
+		d.conn, d.net, d.err = c.dial(ctx, address)
 		close(d.ready)
 		if d.err != nil {
 			c.drop(address, d)
@@ -96,7 +99,7 @@
 	}
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, *deadlineConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var nc net.Conn
@@ -107,10 +110,11 @@
 		nc, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(deadlineConn{nc}, codec{})
-	return jsonrpc2.NewConn(context.Background(), stream, noCalls{}, jsonrpc2.SetLogger(discard)), nil
+	dc := &deadlineConn{Conn: nc}
+	stream := jsonrpc2.NewBufferedStream(dc, codec{})
+	return jsonrpc2.NewConn(context.Background(), stream, noCalls{}, jsonrpc2.SetLogger(discard)), dc, nil
 }
 
 // noCalls ignores calls that arrive on a client's connection.
@@ -182,11 +186,12 @@
 
 // isRejection reports whether a certificate was refused by either side.
 func isRejection(err error) bool {
-	var invalid x509.CertificateInvalidError
-	var unknown x509.UnknownAuthorityError
-	var verify *tls.CertificateVerificationError
+	if fault.KindOf(err) == fault.KindPeerRejected {
+		return true
+	}
 	var alert tls.AlertError
-	return errors.As(err, &invalid) || errors.As(err, &unknown) || errors.As(err, &verify) || errors.As(err, &alert)
+	var refused *net.OpError
+	return errors.As(err, &alert) || errors.As(err, &refused) && refused.Op == "remote error"
 }
 
 func remoteError(address string, e *jsonrpc2.Error) error {
--- a/pkg/peer/instance/conn.go
+++ b/pkg/peer/instance/conn.go
@@ -3,6 +3,7 @@
 import (
 	"log"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,17 +14,25 @@
 	writeTimeout = 5 * time.Second
 )
 
-// deadlineConn sets a deadline for each read and write.
-type deadlineConn struct{ net.Conn }
+// deadlineConn sets a deadline for each read and write, and keeps the error
+// that ended the reading.
+type deadlineConn struct {
+	net.Conn
+	readErr atomic.Pointer[error]
+}
 
-func (c deadlineConn) Read(p []byte) (int, error) {
+func (c *deadlineConn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr.Store(&err)
+	}
+	return n, err
 }
 
-func (c deadlineConn) Write(p []byte) (int, error) {
+func (c *deadlineConn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
