--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -53,6 +53,8 @@
 	stage     atomic.Int32
 	inFlight  atomic.Int64
 	now       func() time.Time
+	// attached is set when the cluster sets the shares itself.
+	attached bool
 }
 
 // tickInterval is the time between two looks at the queued requests.
@@ -73,6 +75,10 @@
 		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
+	if a, ok := c.Cluster.(Attacher); ok {
+		a.Attach(n.core)
+		n.attached = true
+	}
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -123,7 +129,9 @@
 	n.refresh()
 	if t := n.cluster.Tables(); t != nil {
 		n.core.SetTables(now, t)
-		n.core.SetShares(now, n.cluster.Shares())
+		if !n.attached {
+			n.core.SetShares(now, n.cluster.Shares())
+		}
 	}
 	for _, s := range n.cluster.Summaries() {
 		n.core.ObserveZone(now, s)
