Compute what each role needs at a size from measured slopes

Cause: whether each role stays within its budget at 6,000 daemons was opinion; it has to be arithmetic that a reader can redo.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -16,5 +16,6 @@
 		undrainCommand(),
 		watchCommand(),
 		explainCommand(),
+		capacityCommand(),
 	}
 }
--- /dev/null
+++ b/pkg/capacity/compute.go
@@ -0,0 +1,177 @@
+package capacity
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Row is one need of one role at a size.
+type Row struct {
+	Role string `json:"role"`
+	Need string `json:"need"`
+	Unit string `json:"unit"`
+	// Known is false when a slope has not been measured or a number of the
+	// size is not stated; Missing names them, and there is no value then.
+	Known   bool     `json:"known"`
+	Missing []string `json:"missing,omitempty"`
+	// Value is the need; Low and High follow the spread of the slopes.
+	Value float64 `json:"value,omitempty"`
+	Low   float64 `json:"low,omitempty"`
+	High  float64 `json:"high,omitempty"`
+	// Arithmetic is the computation that gave Value.
+	Arithmetic string `json:"arithmetic,omitempty"`
+	// Budget is zero when there is none; Margin is Budget over Value.
+	Budget    float64 `json:"budget,omitempty"`
+	Margin    float64 `json:"margin,omitempty"`
+	Mechanism string  `json:"mechanism"`
+}
+
+// Over reports whether the need exceeds its budget.
+func (r Row) Over() bool { return r.Known && r.Budget > 0 && r.Value > r.Budget }
+
+// Compute returns the needs of all roles at the size.
+func Compute(size Size, slopes Slopes) []Row {
+	d := driversOf(size)
+	rows := make([]Row, 0, len(needs))
+	for _, n := range needs {
+		rows = append(rows, compute(n, d, slopes, size.Budget))
+	}
+	return rows
+}
+
+// compute returns one need.
+func compute(n need, d drivers, slopes Slopes, budget Budget) Row {
+	r := Row{Role: n.role, Need: n.what, Unit: n.unit, Mechanism: n.mechanism}
+	if n.limit != nil {
+		r.Budget = n.limit(budget)
+	}
+	var parts []string
+	for _, t := range n.terms {
+		s, ok := slopes[t.slope]
+		if !ok || !s.Measured {
+			r.Missing = append(r.Missing, t.slope+" is not measured")
+		}
+		x, ok := d[t.driver]
+		if !ok {
+			r.Missing = append(r.Missing, t.driver+" is not stated")
+		}
+		base := s.Intercept
+		if t.noIntercept {
+			base = 0
+		}
+		r.Value += n.scale * (base + s.Slope*x)
+		r.Low += n.scale * (base + s.Low*x)
+		r.High += n.scale * (base + s.High*x)
+		parts = append(parts, arithmetic(base, s.Slope, x, t.driver))
+	}
+	if len(r.Missing) > 0 {
+		return Row{Role: r.Role, Need: r.Need, Unit: r.Unit, Missing: r.Missing, Budget: r.Budget, Mechanism: r.Mechanism}
+	}
+	r.Known = true
+	r.Arithmetic = strings.Join(parts, " + ")
+	if n.scale != 1 {
+		r.Arithmetic = fmt.Sprintf("(%s) × %s", r.Arithmetic, number(n.scale))
+	}
+	if r.Budget > 0 && r.Value > 0 {
+		r.Margin = r.Budget / r.Value
+	}
+	return r
+}
+
+// arithmetic writes base + slope × driver.
+func arithmetic(base, slope, x float64, driver string) string {
+	s := fmt.Sprintf("%s × %s %s", number(slope), number(x), driver)
+	if base != 0 {
+		s = number(base) + " + " + s
+	}
+	return s
+}
+
+// digits is the precision of printed numbers.
+const digits = 4
+
+// number writes a figure with four digits.
+func number(v float64) string { return strconv.FormatFloat(v, 'g', digits, 64) }
+
+// Tightest returns the known row with the smallest margin, which breaks first
+// as the size grows; ok is false when there is none.
+func Tightest(rows []Row) (tightest Row, ok bool) {
+	for _, r := range rows {
+		if r.Known && r.Budget > 0 && r.Margin > 0 && (!ok || r.Margin < tightest.Margin) {
+			tightest, ok = r, true
+		}
+	}
+	return tightest, ok
+}
+
+// Markdown writes the rows as a table for each role.
+func Markdown(size Size, rows []Row) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n", size.Name)
+	role := ""
+	for _, r := range rows {
+		if r.Role != role {
+			role = r.Role
+			fmt.Fprintf(&b, "\n### %s\n\n| need | value | spread | budget | margin | arithmetic | carried by |\n|---|---|---|---|---|---|---|\n", role)
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n", r.Need, valueText(r), spreadText(r), budgetText(r), marginText(r), arithmeticText(r), r.Mechanism)
+	}
+	if r, ok := Tightest(rows); ok {
+		fmt.Fprintf(&b, "\nOf the needs that are known, %s, %s has the smallest margin: it breaks first, at %s times what drives it (less its fixed part).\n", r.Role, r.Need, number(r.Margin))
+	}
+	return b.String()
+}
+
+func valueText(r Row) string {
+	if !r.Known {
+		return "not known"
+	}
+	s := number(r.Value) + " " + r.Unit
+	if r.Over() {
+		s += " **over**"
+	}
+	return s
+}
+
+func spreadText(r Row) string {
+	if !r.Known {
+		return ""
+	}
+	return number(r.Low) + " to " + number(r.High)
+}
+
+func budgetText(r Row) string {
+	if r.Budget == 0 {
+		return "none"
+	}
+	return number(r.Budget)
+}
+
+func marginText(r Row) string {
+	if r.Margin == 0 {
+		return ""
+	}
+	return number(r.Margin) + "×"
+}
+
+func arithmeticText(r Row) string {
+	if !r.Known {
+		return strings.Join(r.Missing, "; ")
+	}
+	return r.Arithmetic
+}
+
+// Unlisted returns the names of the slopes that the needs use and that are
+// not listed.
+func Unlisted(s Slopes) []string {
+	var out []string
+	for _, n := range needs {
+		for _, t := range n.terms {
+			if _, ok := s[t.slope]; !ok {
+				out = append(out, t.slope)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/capacity/roles.go
@@ -0,0 +1,71 @@
+package capacity
+
+// term is one summand of a need: the intercept and slope of a measurement
+// times a driver.
+type term struct {
+	slope  string
+	driver string
+	// noIntercept leaves the intercept out, where another term has it.
+	noIntercept bool
+}
+
+// need is one thing that a role uses.
+type need struct {
+	role string
+	what string
+	unit string
+	// scale converts the sum of the terms to the unit.
+	scale float64
+	terms []term
+	// limit returns the budget, or zero for none.
+	limit func(Budget) float64
+	// mechanism carries the need.
+	mechanism string
+}
+
+// The roles.
+const (
+	roleLookup     = "look-up server"
+	roleForwarder  = "forwarder"
+	roleWatcher    = "zone's watcher"
+	roleHolder     = "share holder"
+	roleSummariser = "summariser"
+	roleTables     = "platform's table service"
+	roleObjects    = "platform's object store"
+	roleOperator   = "operators' command"
+)
+
+const nanosecond = 1e-9
+
+func core(b Budget) float64    { return b.CoreFraction }
+func memory(b Budget) float64  { return b.MemoryBytes }
+func control(b Budget) float64 { return b.ControlBytesPerSecond }
+func reads(b Budget) float64   { return b.StoreReadsPerSecond }
+func writes(b Budget) float64  { return b.StoreWritesPerSecond }
+func inForce(b Budget) float64 { return b.InForceSeconds }
+
+// needs lists what each role uses. The names of the slopes are those of the
+// slopes file.
+var needs = []need{
+	{roleLookup, "processor, matching client blocks", "cores", nanosecond, []term{{slope: "block_lookup_ns", driver: "lookups_per_daemon"}}, core, "sorted prefixes in pages, searched through samples"},
+	{roleLookup, "processor, HTTP look-ups", "cores", nanosecond, []term{{slope: "http_lookup_ns", driver: "lookups_per_daemon"}}, core, "answers from one immutable snapshot"},
+	{roleLookup, "processor, applying block deltas", "cores", nanosecond, []term{{slope: "block_delta_ns", driver: "block_changes_per_second"}}, core, "copies of the pages that change"},
+	{roleLookup, "memory, client blocks", "B", 1, []term{{slope: "block_v4_bytes", driver: "blocks_v4"}, {slope: "block_v6_bytes", driver: "blocks_v6", noIntercept: true}}, memory, "8 bytes an IPv4 block, 12 an IPv6 block"},
+	{roleLookup, "memory, process with the tables", "B", 1, []term{{slope: "process_rss_bytes", driver: "targets"}}, memory, "one immutable snapshot of the tables"},
+	{roleForwarder, "processor, forwarding", "cores", nanosecond, []term{{slope: "forward_ns", driver: "requests_per_daemon"}}, core, "streaming with pooled buffers"},
+	{roleForwarder, "processor, decisions", "cores", nanosecond, []term{{slope: "decide_ns", driver: "requests_per_daemon"}}, core, "choice among the zone's own targets"},
+	{roleWatcher, "bytes, watching the head", "B/s", 1, []term{{slope: "head_poll_bytes", driver: "polls_per_watcher"}}, control, "conditional reads"},
+	{roleWatcher, "bytes, loading changed tables", "B/s", 1, []term{{slope: "tables_bytes", driver: "target_loads_per_second", noIntercept: true}}, control, "whole content by hash"},
+	{roleWatcher, "processor, loading changed tables", "cores", nanosecond, []term{{slope: "tables_load_ns", driver: "target_loads_per_second", noIntercept: true}}, core, "parse and validation of each version"},
+	{roleWatcher, "bytes, telling the zone", "B/s", 1, []term{{slope: "propagation_bytes_per_s", driver: "zone_daemons"}}, control, "digests, then content to those that lack it"},
+	{roleWatcher, "time from acceptance to in force", "s", 1, []term{{slope: "in_force_seconds", driver: "zone_daemons"}}, inForce, "watchers by rendezvous hash in each zone"},
+	{roleHolder, "bytes, heartbeats and transfers", "B/s", 1, []term{{slope: "heartbeat_bytes_per_s", driver: "zone_daemons"}}, control, "shares by target and region"},
+	{roleSummariser, "bytes, summaries of the sites", "B/s", 1, []term{{slope: "summary_bytes_per_s", driver: "sites"}}, control, "deltas between zones"},
+	{roleTables, "reads, watchers", "reads/s", 1, []term{{slope: "head_poll_reads", driver: "polls_per_second"}}, reads, "a few watchers in each zone"},
+	{roleTables, "writes, accepted edits", "writes/s", 1, []term{{slope: "edit_writes", driver: "changes_per_second", noIntercept: true}}, writes, "two transactions an edit"},
+	{roleTables, "writes, share ledger", "writes/s", 1, []term{{slope: "ledger_writes_per_s", driver: "zones"}}, writes, "one row for each zone"},
+	{roleTables, "writes, churn of instances", "writes/s", 1, []term{{slope: "churn_writes", driver: "churn_per_second", noIntercept: true}}, writes, "registration, and reclaim of shares"},
+	{roleObjects, "reads, watchers", "reads/s", 1, []term{{slope: "load_object_reads", driver: "watcher_loads_per_second", noIntercept: true}}, reads, "one object for each version and watcher"},
+	{roleObjects, "bytes of one version", "B", 1, []term{{slope: "tables_bytes", driver: "targets"}}, nil, "canonical JSON"},
+	{roleOperator, "processor time of one edit", "s", nanosecond, []term{{slope: "edit_ns", driver: "targets"}}, nil, "parse, validate, compare, accept"},
+}
--- /dev/null
+++ b/test/slopes/slopes_test.go
@@ -0,0 +1,141 @@
+// Package slopes measures how the needs of the roles grow with their drivers,
+// and writes the slopes file that the capacity page is computed from:
+//
+//	go test -run TestSlopes ./test/slopes -args -write ../../docs/capacity/slopes.yaml
+//
+// Without -write it measures small sizes and checks only that each slope is
+// found and that each need has its slope listed.
+package slopes
+
+import (
+	"flag"
+	"os"
+	"sort"
+	"testing"
+
+	"github.com/jacinthramp/jacinthramp/pkg/capacity"
+)
+
+var (
+	writeFile = flag.String("write", "", "slopes file to bring up to date")
+	runs      = flag.Int("runs", 5, "runs of each measurement")
+	only      = flag.String("only", "", "name of the only slope to measure")
+	note      = flag.String("note", "", "conditions of the run")
+)
+
+// measurement is one slope and how it is measured.
+type measurement struct {
+	name string
+	unit string
+	// measure returns the slope and intercept of one run; full asks for the
+	// sizes of the letter.
+	measure func(t *testing.T, full bool) capacity.Line
+	what    string
+}
+
+var measurements = []measurement{
+	{"block_lookup_ns", "ns a look-up", blockLookup, "2.3 million blocks, random callers, one thread"},
+	{"block_v4_bytes", "B a block", blockBytesV4, "live heap at 0.25, 0.5 and 1 million IPv4 blocks"},
+	{"block_v6_bytes", "B a block", blockBytesV6, "live heap at 0.25, 0.5 and 1 million IPv6 blocks"},
+	{"block_delta_ns", "ns a changed block", blockDelta, "deltas of 100 blocks on 2.3 million"},
+	{"tables_bytes", "B a target", tablesBytes, "content of the tables at 32 to 2,000 targets"},
+	{"tables_load_ns", "ns a target", tablesLoad, "hash, parse, validation and defaults at 32 to 2,000 targets"},
+	{"edit_ns", "ns a target", editTime, "parse of both files, validation, difference, content at 32 to 2,000 targets"},
+	{"head_poll_bytes", "B a poll", pollBytes, "bytes both ways of a conditional read of the head over HTTP"},
+	{"head_poll_reads", "reads a poll", pollReads, "calls counted at the table service"},
+	{"edit_writes", "writes an edit", editWrites, "transactions counted at the table service"},
+	{"load_object_reads", "reads a load", loadReads, "calls counted at the object store"},
+	{"decide_ns", "ns a decision", decideTime, "Decide and Done at 32 targets of one zone, one thread"},
+}
+
+// unmeasured lists the slopes that the needs name and nothing measures yet.
+var unmeasured = []capacity.Slope{
+	{Name: "http_lookup_ns", Unit: "ns a look-up"},
+	{Name: "forward_ns", Unit: "ns a request"},
+	{Name: "process_rss_bytes", Unit: "B a target"},
+	{Name: "propagation_bytes_per_s", Unit: "B/s a daemon of the zone"},
+	{Name: "in_force_seconds", Unit: "s a daemon of the zone"},
+	{Name: "heartbeat_bytes_per_s", Unit: "B/s a daemon of the zone"},
+	{Name: "summary_bytes_per_s", Unit: "B/s a site"},
+	{Name: "ledger_writes_per_s", Unit: "writes/s a zone"},
+	{Name: "churn_writes", Unit: "writes a start or end of an instance"},
+}
+
+func TestSlopes(t *testing.T) {
+	full := *writeFile != ""
+	slopes := readSlopes(t)
+	for _, m := range measurements {
+		if *only != "" && *only != m.name {
+			continue
+		}
+		s := run(t, m, full)
+		if s.Slope <= 0 {
+			t.Errorf("%s: slope %v", m.name, s.Slope)
+		}
+		slopes[m.name] = s
+	}
+	for _, u := range unmeasured {
+		if _, ok := slopes[u.Name]; !ok {
+			slopes[u.Name] = u
+		}
+	}
+	if missing := capacity.Unlisted(slopes); len(missing) > 0 && *only == "" {
+		t.Errorf("needs without a slope: %v", missing)
+	}
+	if full {
+		writeSlopes(t, slopes)
+	}
+}
+
+// run measures m several times.
+func run(t *testing.T, m measurement, full bool) capacity.Slope {
+	n := *runs
+	if !full {
+		n = 1
+	}
+	var slopes, intercepts []float64
+	var last capacity.Line
+	for range n {
+		last = m.measure(t, full)
+		slopes = append(slopes, last.Slope)
+		intercepts = append(intercepts, last.Intercept)
+	}
+	sort.Float64s(slopes)
+	sort.Float64s(intercepts)
+	return capacity.Slope{
+		Name: m.name, Unit: m.unit, Measured: true,
+		Slope: slopes[n/2], Intercept: intercepts[n/2], Low: slopes[0], High: slopes[n-1], Runs: n, Points: last.Points,
+		Command: "go test -run TestSlopes ./test/slopes -args -only " + m.name + " -write ../../docs/capacity/slopes.yaml",
+		Note:    join(m.what, *note),
+	}
+}
+
+func join(what, note string) string {
+	if note == "" {
+		return what
+	}
+	return what + "; " + note
+}
+
+// readSlopes reads the file that is to be brought up to date.
+func readSlopes(t *testing.T) capacity.Slopes {
+	data, err := os.ReadFile(*writeFile)
+	if err != nil {
+		return capacity.Slopes{}
+	}
+	s, err := capacity.ParseSlopes(*writeFile, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func writeSlopes(t *testing.T, s capacity.Slopes) {
+	data, err := s.Format()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(*writeFile, data, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
