Bound the growth of a pool's admitted rate where other regions fall silent

Cause: the callers of a lost region move to instances that serve them in their own region's pool, so its share rose by the lost region's at once; the meter counts shares of an instance's arrivals and can't see it. A region that came back got its whole share at once. Weighed: a bound on volume at all times (refuses daily growth), on silence alone (late by the summaries' interval), and on growth that is not explained by all other regions being heard since it began. Change: shift.Guard at the pool's admission; summaries carry Uptime and Share, from which a restarted instance starts its meters.

--- a/pkg/decision/shift/meter.go
+++ b/pkg/decision/shift/meter.go
@@ -77,15 +77,15 @@
 	return m.lowest()
 }
 
-// Lower reduces the limit to that of a pool whose smallest share is share,
-// for a restarted instance that learns from its peers. It never raises it.
-func (m *Meter) Lower(share float64) {
+// Reset takes share as the pool's share so far, for an instance that learns
+// late what its pools have served.
+func (m *Meter) Reset(share float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i := range m.past {
-		m.past[i] = min(m.past[i], share)
+		m.past[i] = share
 	}
-	m.limit.Store(math.Float64bits(m.lowest() + m.shiftCap))
+	m.limit.Store(math.Float64bits(share + m.shiftCap))
 }
 
 // allowed is the number of requests that may be sent in the open bucket. One
--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -107,6 +107,9 @@
 			p.review(ns)
 		}
 	}
+	for _, rt := range st.routes {
+		rt.review(c, ns)
+	}
 }
 
 // nanos returns now on the Core's monotonic scale.
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -65,7 +65,7 @@
 		return refuse(fault.KindNoTarget)
 	}
 	d := c.dispatch(st, p, now, r)
-	if d.Verdict == Dispatch || d.Kind == fault.KindShareLapsed {
+	if d.Verdict == Dispatch || d.Kind == fault.KindShareLapsed || d.Kind == fault.KindShiftCapped {
 		return d
 	}
 	return c.enqueue(st, p, now, r)
@@ -90,10 +90,10 @@
 // run tries the planned pool, then the others: first what can be had at once,
 // then waiting here, then a zone that may have no room.
 func (s *search) run() Decision {
-	first := s.plan.first(s.arrivals)
 	tries := min(len(s.plan.picks), poolTries)
+	first := s.plan.first(s.arrivals)
 	for i := range tries {
-		pk := &s.plan.picks[(first+i)%len(s.plan.picks)]
+		pk := s.plan.nth(first, i, s.arrivals)
 		if d := s.try(pk); d.Verdict != Refuse {
 			return d
 		}
@@ -104,7 +104,7 @@
 		return s.core.enqueue(s.st, s.waitAt.pool, s.now, s.r)
 	}
 	for i := range tries {
-		pk := &s.plan.picks[(first+i)%len(s.plan.picks)]
+		pk := s.plan.nth(first, i, s.arrivals)
 		if d := s.hopAnyway(pk); d.Verdict != Refuse {
 			return d
 		}
@@ -122,10 +122,14 @@
 		s.note(fault.KindShiftCapped)
 		return Decision{}
 	}
-	if len(p.local) > 0 && !p.past(s.nanos) {
-		if d := s.here(p); d.Verdict == Dispatch {
+	spilling := p.past(s.nanos)
+	capped := false
+	if len(p.local) > 0 && !spilling {
+		d := s.here(p)
+		if d.Verdict == Dispatch {
 			return s.chosen(pk, d)
 		}
+		capped = d.Kind == fault.KindShiftCapped
 	}
 	wait := s.localWait(p)
 	if s.waitAt != nil {
@@ -134,8 +138,14 @@
 	if z, cost := s.core.bestZone(p, s.r, s.nanos); z != nil && cost < wait && s.inTime(cost) {
 		return s.chosen(pk, z.hop(p.name))
 	}
-	if d := s.here(p); d.Verdict == Dispatch {
-		return s.chosen(pk, d)
+	if spilling {
+		if d := s.here(p); d.Verdict == Dispatch {
+			return s.chosen(pk, d)
+		}
+	}
+	if capped {
+		pk.meter.Untake()
+		return Decision{}
 	}
 	if own := s.localWait(p); s.waitAt == nil && own < waitForever {
 		s.waitAt, s.waitTime = pk, own
@@ -222,8 +232,14 @@
 	if !acquire(&p.region.inFlight, p.region.share.Load()) {
 		return refuse(fault.KindRegionFull)
 	}
-	m := c.choose(p, r, c.nanos(now))
+	ns := c.nanos(now)
+	if !p.admit(ns) {
+		p.region.inFlight.Add(-1)
+		return refuse(fault.KindShiftCapped)
+	}
+	m := c.choose(p, r, ns)
 	if m == nil {
+		p.unadmit()
 		p.region.inFlight.Add(-1)
 		if p.slots.Load() == 0 {
 			return refuse(fault.KindNoTarget)
--- a/pkg/decision/steer/observe.go
+++ b/pkg/decision/steer/observe.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // ObserveLoad takes in a target's report.
 func (c *Core) ObserveLoad(now time.Time, rep LoadReport) {
@@ -15,6 +19,10 @@
 	if !ok {
 		return
 	}
+	if sum.Zone == c.self.Zone {
+		p.peers.Store(&sum)
+		return
+	}
 	for _, z := range p.zones {
 		if z.name == sum.Zone {
 			z.observe(min(c.nanos(now), c.nanos(sum.At)), sum)
@@ -22,7 +30,8 @@
 	}
 }
 
-// Summaries returns this instance's part of its zone's headroom, by pool.
+// Summaries returns this instance's part of its zone's headroom, ordered by
+// pool.
 func (c *Core) Summaries(now time.Time) []ZoneSummary {
 	st := c.state.Load()
 	ns := c.nanos(now)
@@ -34,6 +43,7 @@
 		sum := ZoneSummary{
 			Zone: c.self.Zone, Pool: p.name, At: now,
 			Queued: int(p.queued.Load()), LatencyEstimate: p.service.Value(priorService),
+			Uptime: time.Duration(ns), Share: st.lowestShare(p),
 		}
 		if now.Before(st.expires) {
 			usable, inFlight := p.localSlots(ns)
@@ -42,9 +52,24 @@
 		}
 		out = append(out, sum)
 	}
+	slices.SortFunc(out, func(a, b ZoneSummary) int { return cmp.Compare(a.Pool, b.Pool) })
 	return out
 }
 
+// lowestShare returns the smallest share of a route's arrivals that the pool
+// got from this instance within the last window.
+func (st *state) lowestShare(p *pool) float64 {
+	share := 1.0
+	for _, rt := range st.routes {
+		for _, pk := range rt.plan.Load().picks {
+			if pk.pool == p {
+				share = min(share, pk.meter.Lowest())
+			}
+		}
+	}
+	return share
+}
+
 // TargetDemand is the use of this instance's share of a target's slots.
 type TargetDemand struct {
 	Target string
@@ -76,7 +101,7 @@
 	Regions []RegionDemand
 }
 
-// Demand returns the demand of this instance. Targets and pools are those
+// Demand returns the demand of this instance, ordered by name. Targets and pools are those
 // with targets in this zone. Targets that the tables no longer hold are listed
 // while they have requests in flight.
 func (c *Core) Demand() Demand {
@@ -107,5 +132,8 @@
 			Region: name, Share: int(rg.share.Load()), InUse: int(rg.inFlight.Load()), Waiting: byRegion[name],
 		})
 	}
+	slices.SortFunc(d.Targets, func(a, b TargetDemand) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(d.Pools, func(a, b PoolDemand) int { return cmp.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(d.Regions, func(a, b RegionDemand) int { return cmp.Compare(a.Region, b.Region) })
 	return d
 }
--- a/pkg/decision/steer/pool.go
+++ b/pkg/decision/steer/pool.go
@@ -29,6 +29,14 @@
 	// utilisation is smoothed over reviews; only review uses it.
 	utilisation float64
 
+	guard atomic.Pointer[guard]
+	// suspect is set while traffic may have moved here from another region.
+	suspect atomic.Bool
+	// heard is when the other regions were all heard last.
+	heard atomic.Int64
+	// peers is the last summary of this zone's other instances.
+	peers atomic.Pointer[ZoneSummary]
+
 	queued atomic.Int64
 	// The rest is guarded by the lock of the waiting requests.
 	queue   *queue.Queue
--- a/pkg/decision/steer/route.go
+++ b/pkg/decision/steer/route.go
@@ -19,6 +19,10 @@
 	arrivals atomic.Int64
 	plan     atomic.Pointer[plan]
 	meters   map[string]*meter
+	// settled is set once it is known whether this instance started in a
+	// region that had been serving. Only review uses it.
+	settled bool
+	since   int64
 }
 
 // meter is a shift meter with the cap that it was made for.
@@ -37,13 +41,14 @@
 type pick struct {
 	pool  *pool
 	meter *meter
-	share float64
+	// planned is the pool's share of the route over all instances.
+	planned float64
 	// upTo is the sum of the shares up to this pool's.
 	upTo float64
 }
 
-func newRoute() *route {
-	rt := &route{meters: make(map[string]*meter)}
+func newRoute(now int64) *route {
+	rt := &route{meters: make(map[string]*meter), since: now}
 	rt.plan.Store(&plan{})
 	return rt
 }
@@ -63,8 +68,11 @@
 		if p.row.Drain {
 			continue
 		}
+		if len(p.local) > 0 {
+			p.guardFor(c.nanos(now), s.Share)
+		}
 		sum += parts[i].Share
-		next.picks = append(next.picks, pick{pool: p, meter: rt.meterOf(c, now, p, parts[i].Share), share: parts[i].Share, upTo: sum})
+		next.picks = append(next.picks, pick{pool: p, meter: rt.meterOf(c, now, p, parts[i].Share), planned: s.Share, upTo: sum})
 	}
 	rt.plan.Store(next)
 }
@@ -94,3 +102,14 @@
 	}
 	return i
 }
+
+// nth returns the i-th pool to try: the first, then the others from a place
+// that changes with each arrival, so that no one of them gets all that the
+// first can't take.
+func (pl *plan) nth(first, i int, arrivals int64) *pick {
+	n := len(pl.picks)
+	if i == 0 {
+		return &pl.picks[first]
+	}
+	return &pl.picks[(first+1+(i-1+int(arrivals%int64(n-1)))%(n-1))%n]
+}
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -122,7 +122,7 @@
 func (c *Core) addRoute(now time.Time, st, old *state, row *table.Route) {
 	rt, ok := old.routes[row.Name]
 	if !ok {
-		rt = newRoute()
+		rt = newRoute(c.nanos(now))
 	}
 	st.routes[row.Name] = rt
 	rt.replan(c, now, st, row)
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -166,4 +166,11 @@
 	Queued int
 	// LatencyEstimate is the mean service time of the pool in the zone.
 	LatencyEstimate time.Duration
+	// Uptime is how long the instances of the zone have served. A summary of
+	// an instance's own zone only tells it that its peers are warm.
+	Uptime time.Duration
+	// Share is the smallest share of its arrivals that an instance of the zone
+	// gave to this pool within the last shift window. Of several instances of
+	// a zone the smallest counts, and the longest Uptime.
+	Share float64
 }
--- a/pkg/decision/steer/zone.go
+++ b/pkg/decision/steer/zone.go
@@ -22,6 +22,10 @@
 	unknownPart = 0.25
 	// zonePause keeps hops from a zone that has just refused one.
 	zonePause = 200 * time.Millisecond
+	// A zone is silent when its summary is late by so many intervals and so
+	// much for the delays on the way.
+	silentIntervals = 2
+	silentSlack     = 100 * time.Millisecond
 	// priorService is the service time assumed before any was seen.
 	priorService = 20 * time.Millisecond
 )
@@ -32,7 +36,9 @@
 	sameRegion bool
 	summary    atomic.Pointer[ZoneSummary]
 	summaryAt  atomic.Int64
-	inFlight   atomic.Int64
+	// interval is the usual time between summaries.
+	interval choice.Mean
+	inFlight atomic.Int64
 	// counted is the part of inFlight that the last summary knew of.
 	counted  atomic.Int64
 	rtt      choice.Mean
@@ -55,11 +61,20 @@
 	if z.summary.Load() != nil && at <= z.summaryAt.Load() {
 		return
 	}
+	if last := z.summaryAt.Load(); last > 0 {
+		z.interval.Observe(min(time.Duration(at-last), silentIntervals*z.interval.Value(time.Hour)))
+	}
 	z.summary.Store(&sum)
 	z.summaryAt.Store(at)
 	z.counted.Store(z.inFlight.Load())
 }
 
+// silent reports whether the zone has been heard before and is late now.
+func (z *zoneStats) silent(now int64) bool {
+	interval := z.interval.Value(0)
+	return interval > 0 && now-z.summaryAt.Load() > (silentIntervals*interval+silentSlack).Nanoseconds()
+}
+
 // open reports whether hops to the zone are allowed at now.
 func (z *zoneStats) open(now int64) bool {
 	return now >= z.pausedTo.Load() && !z.health.Ejected(now)
--- a/test/bench/measure_test.go
+++ b/test/bench/measure_test.go
@@ -23,7 +23,8 @@
 	inRegion  map[string]int
 	overshoot int
 	limits    map[string]int
-	// perSecond counts dispatches by pool, and arrivals, in each second.
+	// arrivals counts the requests that callers sent in each second, and pools
+	// those of them that went to each pool.
 	pools    []map[string]int
 	arrivals []int
 	good     []int
@@ -58,7 +59,7 @@
 }
 
 func (m *measure) dispatched(w *world, t *target, c *call) {
-	m.pools[m.second(w)][t.pool]++
+	m.pools[c.sent/time.Second][t.pool]++
 	if c.sent >= warmUp {
 		m.attempts++
 	}
--- a/test/bench/model_test.go
+++ b/test/bench/model_test.go
@@ -127,12 +127,16 @@
 	skew    float64
 	timeout time.Duration
 	m       measure
+	// even spreads the callers over regions and instances without chance.
+	even  bool
+	count int
 }
 
 // policy answers a request that has arrived at an instance.
 type policy interface {
 	serve(n *node, c *call)
 	start(w *world)
+	restart(n *node)
 }
 
 // node is one instance.
@@ -142,6 +146,7 @@
 	dead bool
 	next int
 	core *steer.Core
+	ledg *ledger
 	wait map[uint64]func(steer.Decision)
 }
 
@@ -215,6 +220,10 @@
 	if w.skew > 0 && w.rng.Float64() < w.skew {
 		region = w.svc.regions[0]
 	}
+	w.count++
+	if w.even {
+		region = w.svc.regions[w.count%len(w.svc.regions)]
+	}
 	c := &call{region: region, member: w.drawMember(), sent: w.now}
 	n := w.entry(region)
 	c.req = steer.Request{
@@ -259,6 +268,9 @@
 	if len(near) == 0 {
 		near = all
 	}
+	if w.even {
+		return near[w.count/len(w.svc.regions)%len(near)]
+	}
 	return near[w.rng.IntN(len(near))]
 }
 
@@ -324,7 +336,7 @@
 	})
 }
 
-// loseZone kills the instances and targets of a zone.
+// loseZone kills the instances and targets of a zone, or starts them again.
 func (w *world) loseZone(zone string, dead bool) {
 	for _, name := range w.names {
 		if t := w.targets[name]; t.row.Zone == zone {
@@ -334,6 +346,15 @@
 	for _, n := range w.nodes {
 		if n.self.Zone == zone {
 			n.dead = dead
+			if !dead {
+				w.pol.restart(n)
+			}
 		}
 	}
 }
+
+// loseRegion does so for both zones of a region.
+func (w *world) loseRegion(region string, dead bool) {
+	w.loseZone(zoneOf(region, 0), dead)
+	w.loseZone(zoneOf(region, 1), dead)
+}
--- a/test/bench/policy_test.go
+++ b/test/bench/policy_test.go
@@ -12,7 +12,8 @@
 // or of all.
 type roundRobin struct{ everywhere bool }
 
-func (roundRobin) start(*world) {}
+func (roundRobin) start(*world)  {}
+func (roundRobin) restart(*node) {}
 
 func (p roundRobin) serve(n *node, c *call) {
 	for {
@@ -28,7 +29,8 @@
 // leastReported sends to the target of the region with the least reported load.
 type leastReported struct{}
 
-func (leastReported) start(*world) {}
+func (leastReported) start(*world)  {}
+func (leastReported) restart(*node) {}
 
 func (leastReported) serve(n *node, c *call) {
 	best := ""
@@ -45,7 +47,8 @@
 // retryAlways is round robin that tries again after every failure.
 type retryAlways struct{ tries int }
 
-func (retryAlways) start(*world) {}
+func (retryAlways) start(*world)  {}
+func (retryAlways) restart(*node) {}
 
 func (p retryAlways) serve(n *node, c *call) {
 	attempts := 0
@@ -66,22 +69,25 @@
 }
 
 // steering is the project's own policy; borrow lets idle shares move between
-// the instances of a zone as the share ledger does.
-type steering struct{ borrow bool }
+// the instances of a zone as the share ledger does; deaf keeps the zones'
+// summaries from the others.
+type steering struct{ borrow, deaf bool }
 
 const (
 	tickEvery    = 10 * time.Millisecond
 	borrowEvery  = 20 * time.Millisecond
 	summaryEvery = 200 * time.Millisecond
 	reportEvery  = 1 * time.Second
+	shiftWindow  = 10 * time.Second
 )
 
 func (p steering) start(w *world) {
+	l := newLedger(w)
 	for i, n := range w.nodes {
-		n.core = steer.New(n.self, rand.NewPCG(uint64(i), 3))
-		n.core.SetTables(w.time(), w.tb)
+		n.ledg = l
+		n.next = i * 7
+		n.boot()
 	}
-	l := newLedger(w)
 	l.apply()
 	w.every(tickEvery, func() {
 		for _, n := range w.nodes {
@@ -93,10 +99,24 @@
 	if p.borrow {
 		w.every(borrowEvery, l.borrow)
 	}
-	w.every(summaryEvery, func() { p.summaries(w) })
+	if !p.deaf {
+		w.every(summaryEvery, func() { p.summaries(w) })
+	}
 	w.every(reportEvery, func() { p.reports(w) })
 }
 
+// boot starts the instance with an empty memory.
+func (n *node) boot() {
+	n.core = steer.New(n.self, rand.NewPCG(uint64(n.next), 3))
+	n.core.SetTables(n.w.time(), n.w.tb)
+	n.wait = map[uint64]func(steer.Decision){}
+}
+
+func (steering) restart(n *node) {
+	n.boot()
+	n.ledg.apply()
+}
+
 // summaries sends each zone's headroom to the instances of the others.
 func (steering) summaries(w *world) {
 	type key struct{ zone, pool string }
@@ -108,6 +128,9 @@
 		}
 		for _, s := range n.core.Summaries(w.time()) {
 			k := key{s.Zone, s.Pool}
+			if s.Uptime <= shiftWindow {
+				s.Share = 1
+			}
 			if sums[k] == nil {
 				sums[k] = &s
 				order = append(order, k)
@@ -116,13 +139,15 @@
 			sums[k].Free += s.Free
 			sums[k].Slots += s.Slots
 			sums[k].Queued += s.Queued
+			sums[k].Share = min(sums[k].Share, s.Share)
+			sums[k].Uptime = max(sums[k].Uptime, s.Uptime)
 		}
 	}
 	for _, k := range order {
 		s := *sums[k]
 		w.after(w.lag+w.svc.regionDelay, func() {
 			for _, n := range w.nodes {
-				if n.self.Zone != s.Zone && !n.dead {
+				if !n.dead {
 					n.core.ObserveZone(w.time(), s)
 				}
 			}
@@ -184,7 +209,11 @@
 
 func (n *node) act(d steer.Decision, r *steer.Request, c *call, done func(steer.Decision, steer.Result)) {
 	began := n.w.now
+	core := n.core
 	finish := func(k fault.Kind) {
+		if n.core != core {
+			return
+		}
 		res := steer.Result{Kind: k, Latency: n.w.now - began}
 		n.woken(n.core.Done(n.w.time(), d, res))
 		done(d, res)
