--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -65,7 +65,7 @@
 		return refuse(fault.KindNoTarget)
 	}
 	d := c.dispatch(st, p, now, r)
-	if d.Verdict == Dispatch || d.Kind == fault.KindShareLapsed || d.Kind == fault.KindShiftCapped {
+	if d.Verdict == Dispatch || d.Kind == fault.KindShareLapsed || (d.Kind == fault.KindShiftCapped && p.suspect.Load()) {
 		return d
 	}
 	return c.enqueue(st, p, now, r)
@@ -129,7 +129,7 @@
 		if d.Verdict == Dispatch {
 			return s.chosen(pk, d)
 		}
-		capped = d.Kind == fault.KindShiftCapped
+		capped = d.Kind == fault.KindShiftCapped && p.suspect.Load()
 	}
 	wait := s.localWait(p)
 	if s.waitAt != nil {
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -174,7 +174,7 @@
 	it := ps.queue.Peek()
 	r := it.Value.(*Request)
 	d := c.take(st, p, now, r)
-	if d.Kind == fault.KindShiftCapped {
+	if d.Kind == fault.KindShiftCapped && p.suspect.Load() {
 		// Waiting would only move the excess to a later window.
 		c.wait.finish(ps.queue.Pop(), d)
 		return true
