--- /dev/null
+++ b/pkg/decision/poison/poison_test.go
@@ -0,0 +1,129 @@
+package poison
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "31")
+	_ = flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const fingerprint = 7
+
+// targetsLost sends one poison request to random instances, which exchange
+// their records with probability one in exchange after each attempt.
+func targetsLost(rt *rapid.T, instances, exchange int) int {
+	regs := make([]*Register, instances)
+	for i := range regs {
+		regs[i] = New(string(rune('a' + i)))
+	}
+	lost := 0
+	for step := range 40 {
+		now := epoch.Add(time.Duration(step) * time.Second)
+		r := regs[rapid.IntRange(0, instances-1).Draw(rt, "instance")]
+		if counted, ok := r.Start(now, fingerprint); ok {
+			lost++
+			r.Lost(now, fingerprint, "t", counted)
+		}
+		if exchange > 0 && rapid.IntRange(1, exchange).Draw(rt, "exchange") == 1 {
+			for _, from := range regs {
+				for _, to := range regs {
+					to.Merge(now, from.Export(time.Time{}))
+				}
+			}
+		}
+	}
+	return lost
+}
+
+func TestPoisonRequestCostsAtMostTwoTargetsWhenInstancesExchange(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if lost := targetsLost(rt, 3, 1); lost > MaxLost {
+			rt.Fatalf("targets lost = %d", lost)
+		}
+	})
+}
+
+func TestPoisonRequestCostsAtMostTwoTargetsForEachInstanceWithoutExchange(t *testing.T) {
+	worst := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		instances := rapid.IntRange(1, 4).Draw(rt, "instances")
+		lost := targetsLost(rt, instances, 0)
+		if lost > MaxLost*instances {
+			rt.Fatalf("targets lost = %d with %d instances", lost, instances)
+		}
+		worst = max(worst, lost)
+	})
+	if worst <= MaxLost {
+		t.Fatal("the bound with exchange was never exceeded without it: the properties can't fail")
+	}
+}
+
+func TestMergeIsIdempotentAndKeepsNoOrder(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Lost(epoch, fingerprint, "t1", false)
+	b.Lost(epoch, fingerprint, "t2", false)
+	ab, ba := New("x"), New("y")
+	ra, rb := a.Export(time.Time{}), b.Export(time.Time{})
+	for range 2 {
+		ab.Merge(epoch, ra)
+		ab.Merge(epoch, rb)
+		ba.Merge(epoch, rb)
+		ba.Merge(epoch, ra)
+	}
+	x, y := ab.Export(time.Time{})[0], ba.Export(time.Time{})[0]
+	if len(x.Losses) != 2 || len(y.Losses) != 2 || !reflect.DeepEqual(x.Last, y.Last) {
+		t.Fatalf("merged = %+v and %+v", x, y)
+	}
+}
+
+func TestSuspectRunsOnceAtATimeAndIsClearedByAnAnswer(t *testing.T) {
+	r := New("a")
+	r.Lost(epoch, fingerprint, "t1", false)
+	if _, ok := r.Start(epoch, fingerprint); !ok {
+		t.Fatal("one loss must not hold the request")
+	}
+	if _, ok := r.Start(epoch, fingerprint); ok {
+		t.Fatal("a suspect ran twice at the same time")
+	}
+	r.Completed(fingerprint)
+	for range 2 {
+		if _, ok := r.Start(epoch, fingerprint); !ok {
+			t.Fatal("an answered request stayed suspect")
+		}
+	}
+}
+
+func TestHoldEnds(t *testing.T) {
+	r := New("a")
+	for range MaxLost {
+		r.Lost(epoch, fingerprint, "t", false)
+	}
+	if _, ok := r.Start(epoch.Add(Hold-1), fingerprint); ok {
+		t.Fatal("held request was let through")
+	}
+	if _, ok := r.Start(epoch.Add(Hold), fingerprint); !ok {
+		t.Fatal("the hold did not end")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	r := New("a")
+	for i := range uint64(3 * maxEntries) {
+		r.Lost(epoch.Add(time.Duration(i)), i+1, "t", false)
+	}
+	if len(r.entries) > maxEntries {
+		t.Fatalf("entries = %d", len(r.entries))
+	}
+}
--- /dev/null
+++ b/pkg/decision/retry/budget_test.go
@@ -0,0 +1,33 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "41")
+	os.Exit(m.Run())
+}
+
+func TestFurtherAttemptsStayWithinTheRatio(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := NewBudget()
+		first, further := 0, 0
+		for _, spend := range rapid.SliceOfN(rapid.Bool(), 0, 2000).Draw(rt, "spend") {
+			if !spend {
+				first++
+				b.First()
+			} else if b.Spend() {
+				further++
+			}
+			if float64(further) > Ratio*float64(first)+1 {
+				rt.Fatalf("%d further attempts after %d first ones", further, first)
+			}
+		}
+	})
+}
