Keep the shares of an ended process out of use until its loans have run out

Cause: with faults and load on a whole zone, five requests were in flight at a target of four slots. The giver of a loan had been killed; the refused connection let its shares be reclaimed after 2 s, while the taker could use them for 4 s.

Weighed: recording loans in the row (a write for each loan); a longer wait for all. Chosen: the wait after a known death is at least the longest loan, and loans last 3 s in place of 4 s.

Change also: a process that speaks from a holder's address is evidence that the holder has ended, so that a restart gets its predecessor's shares back.

Tests: the random worlds now let idle holders lend and reclaim the dead early; they catch the old rule.

--- /dev/null
+++ b/pkg/cluster/chaos_test.go
@@ -0,0 +1,324 @@
+package cluster
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "6")
+	goleak.VerifyTestMain(m)
+}
+
+// targets counts the requests in flight at the targets of one zone.
+type targets struct {
+	mu       sync.Mutex
+	slots    map[string]int
+	inFlight map[string]int
+	broken   string
+}
+
+func (g *targets) add(now time.Time, name string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight[name] += n
+	if g.inFlight[name] > g.slots[name] && g.broken == "" {
+		g.broken = fmt.Sprintf("at %v: %d requests in flight at %s of %d", now, g.inFlight[name], name, g.slots[name])
+	}
+}
+
+// load is a Core that dispatches requests of random length.
+type load struct {
+	targets *targets
+	mu      sync.Mutex
+	shares  steer.Shares
+	inUse   map[string]int
+	want    int
+	stopped bool
+	ends    []ending
+}
+
+type ending struct {
+	at   time.Time
+	name string
+}
+
+const region = "osrednja"
+
+func (l *load) SetShares(_ time.Time, sh steer.Shares) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shares = sh
+}
+
+func (l *load) Demand() steer.Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var d steer.Demand
+	busy := l.inUse[region]
+	for name := range l.targets.slots {
+		if name != region {
+			d.Targets = append(d.Targets, steer.TargetDemand{Target: name, Pool: "feedlog", Share: l.shares.Slots[name], InUse: l.inUse[name]})
+		}
+	}
+	d.Pools = []steer.PoolDemand{{Pool: "feedlog", Waiting: max(l.want-busy, 0)}}
+	d.Regions = []steer.RegionDemand{{Region: region, Share: l.shares.Regions[region], InUse: busy, Waiting: max(l.want-busy, 0)}}
+	return d
+}
+
+func (l *load) Summaries(time.Time) []steer.ZoneSummary    { return nil }
+func (l *load) PoisonRecords(time.Time) []poison.Record    { return nil }
+func (l *load) MergePoison(_ time.Time, _ []poison.Record) {}
+
+// step ends and begins requests.
+func (l *load) step(now time.Time, rnd *rand.Rand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var running []ending
+	for _, e := range l.ends {
+		if now.Before(e.at) {
+			running = append(running, e)
+			continue
+		}
+		l.count(now, e.name, -1)
+	}
+	l.ends = running
+	for name := range l.targets.slots {
+		free := name != region && l.inUse[name] < l.shares.Slots[name] && l.inUse[region] < l.shares.Regions[region]
+		if !l.stopped && free && l.inUse[region] < l.want && now.Before(l.shares.Expires) {
+			l.count(now, name, 1)
+			l.ends = append(l.ends, ending{at: now.Add(time.Duration(rnd.IntN(400)) * time.Millisecond), name: name})
+		}
+	}
+}
+
+func (l *load) count(now time.Time, name string, n int) {
+	l.inUse[name] += n
+	l.inUse[region] += n
+	l.targets.add(now, name, n)
+	l.targets.add(now, region, n)
+}
+
+// drop ends all requests at once, as the end of the process does.
+func (l *load) drop(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	for _, e := range l.ends {
+		l.count(now, e.name, -1)
+	}
+	l.ends = nil
+}
+
+// chaos is one zone under load and faults.
+type chaos struct {
+	*bench
+	targets *targets
+	loads   map[*node]*load
+	seen    map[*node]uint64
+	cutOut  map[string]time.Time
+	cutIn   map[string]time.Time
+	rnd     *rand.Rand
+	version uint64
+}
+
+func newChaos(seed uint64, n int, loss float64, rules allowance.Rules) *chaos {
+	c := &chaos{
+		bench:   newBench(seed),
+		targets: &targets{slots: map[string]int{"feedlog-0": 4, "feedlog-1": 4, region: 6}, inFlight: map[string]int{}},
+		loads:   map[*node]*load{}, seen: map[*node]uint64{},
+		cutOut: map[string]time.Time{}, cutIn: map[string]time.Time{},
+		rnd: rand.New(rand.NewPCG(seed, 3)),
+	}
+	c.net.loss = loss
+	c.net.cut = func(from, to string) bool {
+		now := time.Now()
+		return now.Before(c.cutOut[from]) || now.Before(c.cutIn[to])
+	}
+	c.rules = rules
+	c.edit()
+	for i := range n {
+		c.join(fmt.Sprintf("instance-%d", i))
+	}
+	return c
+}
+
+func (c *chaos) edit() {
+	c.version++
+	t := testTables(c.version, 1)
+	t.Regions[0].Limit = c.targets.slots[region]
+	c.store.accept(t)
+}
+
+func (c *chaos) join(id string) {
+	l := &load{targets: c.targets, inUse: map[string]int{}}
+	n := c.startWith(id, zoneName(0, 1), l)
+	c.loads[n] = l
+}
+
+func (c *chaos) end(n *node) {
+	c.kill(n)
+	c.loads[n].drop(time.Now())
+	delete(c.loads, n)
+}
+
+// run works for d and returns the first broken invariant.
+func (c *chaos) run(d time.Duration) string {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		now := time.Now()
+		for _, n := range c.nodes {
+			l := c.loads[n]
+			if c.rnd.IntN(50) == 0 {
+				l.mu.Lock()
+				l.want = c.rnd.IntN(8)
+				l.mu.Unlock()
+			}
+			l.step(now, c.rnd)
+			if t := n.Tables(); t != nil {
+				if t.Version < c.seen[n] {
+					return fmt.Sprintf("%s went back from version %d to %d", n.addr, c.seen[n], t.Version)
+				}
+				c.seen[n] = t.Version
+			}
+		}
+		if c.targets.broken != "" {
+			return c.targets.broken
+		}
+	}
+	return ""
+}
+
+// strike makes one fault happen.
+func (c *chaos) strike(kind int, i int, d time.Duration) {
+	n := c.nodes[i%len(c.nodes)]
+	until := time.Now().Add(d)
+	c.net.mu.Lock()
+	switch kind {
+	case 0:
+		c.cutOut[n.addr] = until
+	case 1:
+		c.cutIn[n.addr] = until
+	case 2:
+		c.cutOut[n.addr], c.cutIn[n.addr] = until, until
+	}
+	c.net.mu.Unlock()
+	switch kind {
+	case 3:
+		c.store.down.Store(!c.store.down.Load())
+	case 4:
+		c.end(n)
+		c.join(n.addr)
+	case 5:
+		c.edit()
+	case 6:
+		c.end(n)
+		c.join(fmt.Sprintf("instance-%d", 10+c.born))
+	}
+}
+
+type strike struct {
+	Kind, Instance int
+	For, Then      time.Duration
+}
+
+type plan struct {
+	Seed      uint64
+	Instances int
+	Loss      float64
+	Strikes   []strike
+	Rules     allowance.Rules
+}
+
+func drawPlan(t *rapid.T) plan {
+	seconds := func(lo, hi int, label string) time.Duration {
+		return time.Duration(rapid.IntRange(lo, hi).Draw(t, label)) * time.Second
+	}
+	one := rapid.Custom(func(t *rapid.T) strike {
+		return strike{
+			Kind: rapid.IntRange(0, 6).Draw(t, "kind"), Instance: rapid.IntRange(0, 4).Draw(t, "instance"),
+			For: seconds(1, 25, "for"), Then: seconds(0, 12, "then"),
+		}
+	})
+	return plan{
+		Seed: rapid.Uint64().Draw(t, "seed"), Instances: rapid.IntRange(1, 5).Draw(t, "instances"),
+		Loss:    float64(rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "loss")) / 100,
+		Strikes: rapid.SliceOfN(one, 0, 8).Draw(t, "strikes"),
+	}
+}
+
+// suffer runs p and returns the first broken promise.
+func suffer(p plan) string {
+	c := newChaos(p.Seed, p.Instances, p.Loss, p.Rules)
+	defer c.stop()
+	broken := c.run(3 * time.Second)
+	for _, s := range p.Strikes {
+		if broken != "" {
+			return broken
+		}
+		c.strike(s.Kind, s.Instance, s.For)
+		broken = c.run(s.Then)
+	}
+	c.store.down.Store(false)
+	c.net.mu.Lock()
+	c.net.loss = 0
+	c.net.mu.Unlock()
+	if broken == "" {
+		broken = c.run(45 * time.Second)
+	}
+	if broken == "" && !c.allInForce(c.version) {
+		broken = fmt.Sprintf("version %d is not in force everywhere", c.version)
+	}
+	if broken != "" {
+		return broken
+	}
+	for _, l := range c.loads {
+		l.mu.Lock()
+		l.want = 0
+		l.stopped = true
+		l.mu.Unlock()
+	}
+	time.Sleep(10 * time.Second)
+	if got := c.usable("feedlog-0"); got != 4 {
+		return fmt.Sprintf("usable shares are %d of 4 after the faults", got)
+	}
+	return ""
+}
+
+func TestInvariantsHoldUnderFaultsAndLoad(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		broken := ""
+		synctest.Test(t, func(*testing.T) { broken = suffer(p) })
+		if broken != "" {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+func TestABrokenRuleOvershootsAtTheTargets(t *testing.T) {
+	for seed := range uint64(5) {
+		broken := ""
+		synctest.Test(t, func(*testing.T) {
+			broken = suffer(plan{Seed: seed, Instances: 3, Rules: allowance.Rules{LendWithoutSubtracting: true}})
+		})
+		if broken != "" {
+			t.Logf("caught: %s", broken)
+			return
+		}
+	}
+	t.Fatal("shares that are lent and kept were not caught")
+}
--- a/pkg/cluster/row.go
+++ b/pkg/cluster/row.go
@@ -146,12 +146,7 @@
 	c.mu.Lock()
 	silent := c.reclaimer.Silent(now)
 	var asks []allowance.Consent
-	for i := range c.row.Holders {
-		h := &c.row.Holders[i]
-		if h.Key != c.self && h.Address == c.cfg.Self.PeerAddress {
-			c.reclaimer.ObserveDeath(now, h.Key)
-		}
-	}
+	c.noteReplaced(now)
 	for _, k := range silent {
 		asks = append(asks, c.reclaimer.Consents(now, k)...)
 	}
@@ -174,6 +169,23 @@
 	}
 }
 
+// noteReplaced takes in that a holder's process has ended when another process
+// has spoken from its address. The caller holds mu.
+func (c *Cluster) noteReplaced(now time.Time) {
+	at := map[string]allowance.Key{c.cfg.Self.PeerAddress: c.self}
+	for _, m := range c.view.Zone(now, c.cfg.Self.Zone) {
+		if !m.Heard.IsZero() {
+			at[m.PeerAddress] = keyOf(m.Info)
+		}
+	}
+	for i := range c.row.Holders {
+		h := &c.row.Holders[i]
+		if k, ok := at[h.Address]; ok && k != h.Key {
+			c.reclaimer.ObserveDeath(now, h.Key)
+		}
+	}
+}
+
 // askConsents asks the witnesses, this instance included.
 func (c *Cluster) askConsents(ctx context.Context, asks []allowance.Consent) {
 	var wg conc.WaitGroup
--- a/pkg/decision/allowance/ledger_test.go
+++ b/pkg/decision/allowance/ledger_test.go
@@ -100,6 +100,7 @@
 		"loan counted from the reply": {LoanFromReply: true},
 		"repeated loan added again":   {RepeatLoans: true},
 		"reclaim without consent":     {ReclaimWithoutConsent: true},
+		"loans of the dead forgotten": {ForgetLoansOfTheDead: true},
 	} {
 		if !caught(600, rules) {
 			t.Errorf("%s: the property did not catch the broken rule", name)
--- a/pkg/decision/allowance/reclaim.go
+++ b/pkg/decision/allowance/reclaim.go
@@ -115,7 +115,7 @@
 	if h == nil || s == nil || k == c.self {
 		return false
 	}
-	if !s.dead.IsZero() && now.Sub(s.dead) >= c.timing.DeadSettle {
+	if !s.dead.IsZero() && now.Sub(s.dead) >= c.afterDeath() {
 		return true
 	}
 	if !c.lapsed(now, s, c.timing.Lease+c.timing.Settle) {
@@ -130,6 +130,15 @@
 	return c.allConsent(now, h, s)
 }
 
+// afterDeath returns how long the shares of an ended process stay out of use:
+// those that it lent are usable until their loans end.
+func (c *Reclaimer) afterDeath() time.Duration {
+	if c.rules.ForgetLoansOfTheDead {
+		return c.timing.DeadSettle
+	}
+	return max(c.timing.DeadSettle, c.timing.stretched(c.timing.Loan))
+}
+
 // allConsent reports whether no witness may extend the lease any more.
 func (c *Reclaimer) allConsent(now time.Time, h *Holder, s *silence) bool {
 	for _, set := range h.witnessSets() {
--- a/pkg/decision/allowance/timing.go
+++ b/pkg/decision/allowance/timing.go
@@ -14,7 +14,7 @@
 	// requests that were dispatched under it.
 	Settle time.Duration
 	// DeadSettle replaces the lease and Settle when the holder's process is
-	// known to have ended.
+	// known to have ended. It is never shorter than Loan.
 	DeadSettle time.Duration
 	// Loan is the longest time for which one holder lends shares to another
 	// without being asked again.
@@ -30,7 +30,7 @@
 		LongLease:   10 * time.Minute,
 		Settle:      10 * time.Second,
 		DeadSettle:  2 * time.Second,
-		Loan:        4 * time.Second,
+		Loan:        3 * time.Second,
 		ClockMargin: 0.02,
 	}
 }
@@ -58,6 +58,8 @@
 	RepeatLoans bool
 	// IgnoreCeilings uses grants that a heartbeat has promised to give up.
 	IgnoreCeilings bool
+	// ForgetLoansOfTheDead reclaims from an ended process before its loans end.
+	ForgetLoansOfTheDead bool
 	// ReclaimWithoutConsent reclaims after the lease alone.
 	ReclaimWithoutConsent bool
 }
