--- a/test/bench/measure_test.go
+++ b/test/bench/measure_test.go
@@ -110,19 +110,25 @@
 	return func(time.Duration) float64 { return load }
 }
 
-// TestMeasure prints the figures of docs/measurements.d/decide.md.
-func TestMeasure(t *testing.T) {
+// BenchmarkMeasure prints the figures of docs/measurements.d/decide.md. Run it
+// with -benchtime=1x.
+func BenchmarkMeasure(b *testing.B) {
+	for b.Loop() {
+		measureAll(b)
+	}
+}
+
+func measureAll(b *testing.B) {
+	b.Helper()
 	fmt.Println("| service | scenario | policy | p50 ms | p99 ms | goodput / capacity | completed / sent | attempts / first | overshoot |")
 	for _, svc := range []service{feedlog, certdesk, catalogue, archive} {
-		t.Run(svc.name, func(*testing.T) {
-			for _, load := range []float64{0.6, 0.9, 1.1, 1.5} {
-				measureRow(svc, fmt.Sprintf("%.0f%%", load*100), load, nil)
-			}
-			measureRow(svc, "60%, zone lost", 0.6, func(w *world) {
-				w.after(runFor/3, func() { w.loseZone(zoneOf(w.svc.regions[0], 0), true) })
-			})
-			measureRow(svc, "90%, reports 3 s late", 0.9, func(w *world) { w.lag = 3 * time.Second })
+		for _, load := range []float64{0.6, 0.9, 1.1, 1.5} {
+			measureRow(svc, fmt.Sprintf("%.0f%%", load*100), load, nil)
+		}
+		measureRow(svc, "60%, zone lost", 0.6, func(w *world) {
+			w.after(runFor/3, func() { w.loseZone(zoneOf(w.svc.regions[0], 0), true) })
 		})
+		measureRow(svc, "90%, reports 3 s late", 0.9, func(w *world) { w.lag = 3 * time.Second })
 	}
 }
 
