--- a/pkg/decision/outcome/once_test.go
+++ b/pkg/decision/outcome/once_test.go
@@ -64,7 +64,6 @@
 	home        *Registry
 	dispatched  bool
 	joined      bool
-	incarnation int
 }
 
 // sim drives instances, callers and a target through one id's submissions.
