--- a/pkg/decision/outcome/once_test.go
+++ b/pkg/decision/outcome/once_test.go
@@ -59,11 +59,11 @@
 
 // submission is one call in progress.
 type submission struct {
-	op          int
-	start       int64
-	home        *Registry
-	dispatched  bool
-	joined      bool
+	op         int
+	start      int64
+	home       *Registry
+	dispatched bool
+	joined     bool
 }
 
 // sim drives instances, callers and a target through one id's submissions.
