--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -7,6 +7,7 @@
 	return []*cli.Command{
 		standinCommand(),
 		loadCommand(),
+		demoCommand(),
 		validateCommand(),
 		planCommand(),
 		applyCommand(),
@@ -16,5 +17,6 @@
 		undrainCommand(),
 		watchCommand(),
 		explainCommand(),
+		capacityCommand(),
 	}
 }
--- /dev/null
+++ b/pkg/node/bench_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// benchWorkers is the number of callers at one time.
+const benchWorkers = 8
+
+// BenchmarkForward sends the same requests from the same client straight to a
+// target and through one instance, in turn, so that both see the same machine.
+func BenchmarkForward(b *testing.B) {
+	payload := make([]byte, 1024)
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == wire.PathTargetLoad {
+			writeJSON(w, wire.TargetLoad{Slots: 64, Incarnation: "t"})
+			return
+		}
+		w.Write(payload)
+	}
+	s := httptest.NewServer(http.HandlerFunc(h))
+	defer s.Close()
+	m := startMember(b, "a-1", "osrednja-a")
+	tables := oneTarget(s.Listener.Addr().String(), "osrednja-a")
+	tables.Pools[0].Targets[0].Slots = 64
+	m.run(b, tables)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * benchWorkers}}
+	defer client.CloseIdleConnections()
+
+	for _, workers := range []int{1, benchWorkers} {
+		b.Run(map[int]string{1: "one", benchWorkers: "eight"}[workers], func(b *testing.B) {
+			var direct, through []time.Duration
+			var directTime, throughTime time.Duration
+			const rounds = 10
+			n := max(b.N/rounds, workers)
+			load(b, client, s.URL+"/feedlog", workers, workers*8)
+			load(b, client, m.url()+"/feedlog", workers, workers*8)
+			for range rounds {
+				d, took := load(b, client, s.URL+"/feedlog", workers, n)
+				direct, directTime = append(direct, d...), directTime+took
+				d, took = load(b, client, m.url()+"/feedlog", workers, n)
+				through, throughTime = append(through, d...), throughTime+took
+			}
+			p50 := func(d []time.Duration) float64 {
+				sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
+				return float64(d[len(d)/2].Nanoseconds()) / 1e3
+			}
+			b.ReportMetric(p50(direct), "direct-p50-us")
+			b.ReportMetric(p50(through)-p50(direct), "added-p50-us")
+			b.ReportMetric(float64(directTime)/float64(throughTime), "throughput-ratio")
+		})
+	}
+}
+
+// load makes n requests from a number of workers and returns their times.
+func load(b *testing.B, client *http.Client, url string, workers, n int) ([]time.Duration, time.Duration) {
+	b.Helper()
+	all := make([][]time.Duration, workers)
+	start := time.Now()
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for range n / workers {
+				t0 := time.Now()
+				resp, err := client.Get(url)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					b.Errorf("status %d, kind %s", resp.StatusCode, resp.Header.Get(wire.HeaderKind))
+					return
+				}
+				all[w] = append(all[w], time.Since(t0))
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(start)
+	var times []time.Duration
+	for _, ts := range all {
+		times = append(times, ts...)
+	}
+	return times, took
+}
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -58,7 +58,7 @@
 func (m *member) url() string { return "http://" + m.self.CallerAddress }
 
 // startMember opens the listeners of an instance; run serves it.
-func startMember(t *testing.T, id, zone string) *member {
+func startMember(t testing.TB, id, zone string) *member {
 	t.Helper()
 	s := settings.Default()
 	s.Leave.MinLookupTTL = settings.Duration(20 * time.Millisecond)
@@ -82,7 +82,7 @@
 }
 
 // run serves m with the given tables and list until the test ends.
-func (m *member) run(t *testing.T, tables *table.Tables, list ...platform.Instance) {
+func (m *member) run(t testing.TB, tables *table.Tables, list ...platform.Instance) {
 	t.Helper()
 	m.cluster.tables.Store(tables.WithDefaults())
 	if len(list) > 0 {
