--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,123 @@
+// Package daemon wires one whole instance: the path of requests, what the
+// instances share, and the server of the instances' own protocol. It is what
+// jacinthrampd runs, and what the demo runs many of.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/cluster"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/node"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+)
+
+// Platform is every service of the platform.
+type Platform interface {
+	platform.Tables
+	platform.Objects
+	platform.Instances
+}
+
+// Daemon is one instance with its listeners open.
+type Daemon struct {
+	self  platform.Instance
+	node  *node.Node
+	peers *instance.Client
+	peer  net.Listener
+	serve *instance.Server
+	log   *zap.Logger
+}
+
+// New opens the listeners that s names and wires an instance to p. An address
+// that can't be listened on is fault.KindInvalidSettings.
+func New(s *settings.Settings, p Platform, log *zap.Logger) (*Daemon, error) {
+	ls, peer, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With(zap.String("instance", s.Instance.ID))
+	d := &Daemon{peer: peer, peers: instance.NewClient(nil), log: log}
+	d.self = platform.Instance{
+		ID:            s.Instance.ID,
+		Zone:          s.Instance.Zone,
+		Region:        s.Instance.Region,
+		Incarnation:   newIncarnation(),
+		CallerAddress: ls.Caller.Addr().String(),
+		HopAddress:    ls.Hop.Addr().String(),
+		PeerAddress:   peer.Addr().String(),
+		AdminAddress:  ls.Admin.Addr().String(),
+	}
+	c := cluster.New(cluster.Config{
+		Self: d.self, Timing: cluster.DefaultTiming(),
+		Tables: p, Objects: p, Instances: p,
+		Peers: d.peers, Log: log, Rand: rand.Float64,
+	})
+	d.serve = instance.NewServer(c.Handler(), nil)
+	d.node = node.New(node.Config{
+		Settings: s, Self: d.self, Listeners: ls, Cluster: c, Log: log, Seed: rand.Uint64(),
+	})
+	return d, nil
+}
+
+// Self returns the instance's entry in the platform's list.
+func (d *Daemon) Self() platform.Instance { return d.self }
+
+// Run serves until ctx ends and the instance has left.
+func (d *Daemon) Run(ctx context.Context) error {
+	peering, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if err := d.serve.Serve(peering, d.peer); err != nil {
+			d.log.Error("peer listener failed", zap.Error(err))
+		}
+	})
+	err := d.node.Run(ctx)
+	stop()
+	wg.Wait()
+	d.peers.Close()
+	return err
+}
+
+// newIncarnation returns a value higher than that of any earlier start of the
+// instance: the time in nanoseconds and random bits, in letters and digits.
+func newIncarnation() string {
+	return strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.FormatUint(uint64(rand.Uint32()), 36)
+}
+
+// listen opens the listeners; after an error none is left open.
+func listen(s *settings.Settings) (node.Listeners, net.Listener, error) {
+	var ls node.Listeners
+	var peer net.Listener
+	var opened []net.Listener
+	for _, l := range []struct {
+		key, address string
+		place        *net.Listener
+	}{
+		{"listen.caller", s.Listen.Caller, &ls.Caller},
+		{"listen.hop", s.Listen.Hop, &ls.Hop},
+		{"listen.peer", s.Listen.Peer, &peer},
+		{"listen.admin", s.Listen.Admin, &ls.Admin},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, other := range opened {
+				_ = other.Close()
+			}
+			return ls, nil, fault.Wrap(fault.KindInvalidSettings, err, "%s: can't listen on %s", l.key, l.address)
+		}
+		*l.place = ln
+		opened = append(opened, ln)
+	}
+	return ls, peer, nil
+}
--- /dev/null
+++ b/pkg/daemon/daemon_test.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const anyPort = "127.0.0.1:0"
+
+func testSettings() *settings.Settings {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: "i-1", Zone: "osrednja-a", Region: "osrednja"}
+	s.Listen = settings.Listen{Caller: anyPort, Hop: anyPort, Peer: anyPort, Admin: anyPort}
+	return &s
+}
+
+func TestTakenAddressIsNamedAndNothingStaysOpen(t *testing.T) {
+	taken, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	s := testSettings()
+	s.Listen.Admin = taken.Addr().String()
+	if _, err := New(s, standin.New(nil), zap.NewNop()); fault.KindOf(err) != fault.KindInvalidSettings {
+		t.Fatalf("error: %v", err)
+	}
+}
+
+func TestInstanceRegistersServesAndLeavesTheList(t *testing.T) {
+	store := standin.New(nil)
+	d, err := New(testSettings(), store, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	for {
+		list, err := store.ListInstances(t.Context())
+		if err == nil && len(list) == 1 && list[0] == d.Self() {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if list, err := store.ListInstances(t.Context()); err != nil || len(list) != 0 {
+		t.Fatalf("list after the planned stop: %+v, %v", list, err)
+	}
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/load"
 	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/target"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
@@ -49,10 +50,10 @@
 	endTimeout = 10 * time.Second
 )
 
-// drained and crashed are the targets that leave and crash.
+// The services that lose a target; the one with the most runs is taken.
 const (
-	drained = "feedlog-osrednja-a-1"
-	crashed = "catalogue-stajerska-b-1"
+	drainedService = "feedlog"
+	crashedService = "catalogue"
 )
 
 // run is one run of the demo.
@@ -64,6 +65,7 @@
 	start   time.Time
 	edit    *observer
 	editAt  time.Time
+	drained string
 	drain   conc.WaitGroup
 	errs    []error
 }
@@ -207,20 +209,23 @@
 }
 
 func (r *run) drainTarget(ctx context.Context) {
-	r.world.group.Target(drained).Leave()
-	r.say("target %s shows that it is leaving", drained)
+	r.drained = r.world.busiest(drainedService)
+	t := r.world.group.Target(r.drained)
+	t.Leave()
+	r.say("target %s shows that it is leaving", r.drained)
 	r.drain.Go(func() {
 		limit, cancel := context.WithTimeout(ctx, stepCount*r.options.Step+endTimeout)
 		defer cancel()
-		if err := r.world.group.Target(drained).Drain(limit); err != nil {
-			r.say("target %s did not drain: %v", drained, err)
+		if err := t.Drain(limit); err != nil {
+			r.say("target %s did not drain: %v", r.drained, err)
 			return
 		}
-		r.say("target %s has stopped", drained)
+		r.say("target %s has stopped", r.drained)
 	})
 }
 
 func (r *run) crashTarget(context.Context) {
+	crashed := r.world.busiest(crashedService)
 	r.world.group.Target(crashed).Crash()
 	r.say("target %s crashes", crashed)
 }
@@ -239,7 +244,10 @@
 func (r *run) report(g *gauge) Report {
 	runs := r.world.group.Runs()
 	l := r.col.Report(&runs)
-	st := r.world.group.Target(drained).Stats()
+	var st target.Stats
+	if t := r.world.group.Target(r.drained); t != nil {
+		st = t.Stats()
+	}
 	store := r.world.store.Stats()
 	rep := Report{
 		Requests: l.Requests, Completed: l.Completed, NotRun: l.NotRun, Unknown: l.Unknown,
--- a/pkg/demo/world.go
+++ b/pkg/demo/world.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
-	"github.com/jacinthramp/jacinthramp/pkg/node"
+	"github.com/jacinthramp/jacinthramp/pkg/daemon"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
@@ -59,8 +57,8 @@
 	listLag = time.Second
 	// storeDelay is the delay of each call of the store.
 	storeDelay = 2 * time.Millisecond
-	// pollInterval is the time between two reads of the store by an instance.
-	pollInterval = 500 * time.Millisecond
+	// anyPort lets the machine choose a free port.
+	anyPort = "127.0.0.1:0"
 	// reportLag is the age of the targets' load reports.
 	reportLag = 100 * time.Millisecond
 	// restartAfter is how long a crashed target stays away.
@@ -121,7 +119,7 @@
 			p := places[i%len(places)]
 			c := s.config
 			c.Name = fmt.Sprintf("%s-%s-%d", s.name, p.zone, i/len(places)+1)
-			c.Address = "127.0.0.1:0"
+			c.Address = anyPort
 			c.Seed = uint64(len(configs) + 1)
 			c.ColdFactor, c.WarmRequests = 2, 20
 			c.DrainGrace = table.Duration(drainGrace)
@@ -140,41 +138,26 @@
 	s := settings.Default()
 	s.Instance = settings.Instance{ID: fmt.Sprintf("%s-%d", p.zone, number/len(places)+1), Zone: p.zone, Region: p.region}
 	s.Leave.MinLookupTTL = settings.Duration(lookupTTL)
-	listeners, err := listen()
+	s.Listen = settings.Listen{Caller: anyPort, Hop: anyPort, Peer: anyPort, Admin: anyPort}
+	d, err := daemon.New(&s, w.store, zap.NewNop())
 	if err != nil {
 		return err
 	}
-	self := platform.Instance{
-		ID: s.Instance.ID, Zone: p.zone, Region: p.region, Incarnation: uuid.NewString()[:8],
-		CallerAddress: listeners.Caller.Addr().String(),
-		HopAddress:    listeners.Hop.Addr().String(),
-		AdminAddress:  listeners.Admin.Addr().String(),
-	}
-	n := node.New(node.Config{
-		Settings:  &s,
-		Self:      self,
-		Listeners: listeners,
-		Cluster:   node.NewPoller(w.store, w.store, w.store, self, pollInterval, s.Platform.Timeout.Std()),
-		Log:       zap.NewNop(),
-		Seed:      uint64(number + 1),
-	})
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	w.running = append(w.running, &running{self: self, stop: stop})
-	w.wg.Go(func() { _ = n.Run(ctx) })
+	w.running = append(w.running, &running{self: d.Self(), stop: stop})
+	w.wg.Go(func() { _ = d.Run(ctx) })
 	return nil
 }
 
-// listen opens the listeners of one instance on free ports.
-func listen() (node.Listeners, error) {
-	var ls node.Listeners
-	for _, l := range []*net.Listener{&ls.Caller, &ls.Hop, &ls.Admin} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return ls, err
+// busiest returns the target of a service with the most runs.
+func (w *world) busiest(service string) string {
+	name, most := "", -1
+	for i, st := range w.group.Stats() {
+		if w.targets[i].service == service && st.Runs > most {
+			name, most = st.Name, st.Runs
 		}
-		*l = ln
 	}
-	return ls, nil
+	return name
 }
 
 // entries are the caller addresses of a zone's instances.
--- a/test/process/system_test.go
+++ b/test/process/system_test.go
@@ -183,7 +183,7 @@
 		logs = append(logs, s.targets[i].runLog)
 	}
 	for _, w := range workloads {
-		mix = append(mix, fmt.Sprintf("  - {route: %s, path: /%s/x, deadline: 15s, %s}", w.name, w.name, w.kind))
+		mix = append(mix, fmt.Sprintf("  - {route: %s, path: /%s/x, deadline: 8s, %s}", w.name, w.name, w.kind))
 	}
 	file := s.write(name+".yaml", fmt.Sprintf("entries: [%s]\nrun_logs: [%s]\nrate: 120\nduration: %ds\nmix:\n%s\nmembers: [{name: a}, {name: b}]\n",
 		strings.Join(entries, ", "), strings.Join(logs, ", "), seconds, strings.Join(mix, "\n")))
