--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -17,5 +17,6 @@
 		undrainCommand(),
 		watchCommand(),
 		explainCommand(),
+		capacityCommand(),
 	}
 }
