Test a refused connection without an idle one left over

Cause: the test expected a refusal although an idle connection was left. When the transport had not noticed yet that it was closed, the transaction was written and the answer missing, which is ambiguous, and rightly so. It failed in one of many runs.

Change: the idle connection is dropped first, and store-unavailable is still demanded; a test of its own covers the connection that died idle.

--- a/pkg/standin/platform/platform_test.go
+++ b/pkg/standin/platform/platform_test.go
@@ -177,6 +177,7 @@
 	c := platform.NewClient(srv.URL, nil)
 	defer c.Close()
 	mustCommit(t, c, platform.Write{Key: "k"})
+	c.Close()
 	srv.Close()
 	for range 2 {
 		_, err := c.Commit(t.Context(), []platform.Write{{Key: "other"}})
@@ -184,6 +185,21 @@
 	}
 }
 
+func TestConnectionThatDiedIdleIsNeverASuccess(t *testing.T) {
+	srv := httptest.NewServer(Handler(New(nil)))
+	c := platform.NewClient(srv.URL, nil)
+	defer c.Close()
+	mustCommit(t, c, platform.Write{Key: "k"})
+	srv.Close()
+	// The transport may notice before or after it writes.
+	_, err := c.Commit(t.Context(), []platform.Write{{Key: "other"}})
+	if k := fault.KindOf(err); k != fault.KindStoreUnavailable && k != fault.KindStoreAmbiguous {
+		t.Fatalf("kind = %v (%v)", k, err)
+	}
+	_, err = c.Commit(t.Context(), []platform.Write{{Key: "other"}})
+	wantKind(t, err, fault.KindStoreUnavailable)
+}
+
 func TestRatesBeyondTheLimitAreRefused(t *testing.T) {
 	now := time.Unix(100, 0)
 	s := New(func() time.Time { return now })
