Find homes that started lately, and give a request that was not run a new id

Cause: two of the tests with real processes saw 1 to 2 requests in 240 to 1080 end as home-gone. An instance reads the platform's list as rarely as every 30 s, so it did not know a home in another zone that had just started; and a caller took an id along whose home had answered "not run" and then left.

Weighed: the home's address within the id would let a caller choose where an instance connects to. Reading the list more often costs every instance reads for a rare case.

Change: a repeat whose home the view lacks makes one read of the platform's list, at most one in 500 ms for all of them. The load's caller takes a new id for another instance after "not run", unless a submission under the old id went unanswered and may still arrive; at the same instance it keeps the id, as its test asks.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -64,7 +64,7 @@
 	})
 	d.serve = instance.NewServer(c.Handler(), nil)
 	d.node = node.New(node.Config{
-		Settings: s, Self: d.self, Listeners: ls, Cluster: c, Log: log, Seed: rand.Uint64(),
+		Settings: s, Self: d.self, Listeners: ls, Cluster: c, Instances: p, Log: log, Seed: rand.Uint64(),
 	})
 	return d, nil
 }
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -112,6 +112,14 @@
 	tried   map[string]bool
 	end     time.Time
 	result  Result
+	// unsettled is set once a submission under id got no answer, so that it
+	// may still arrive and the id must be kept.
+	unsettled bool
+	// renewable is set while the request has certainly not run under id, so
+	// that another instance may get it under an id of its own.
+	renewable bool
+	// home is the instance that id names.
+	home string
 }
 
 // submit sends the request once. It reports whether to send it again, and
@@ -123,8 +131,10 @@
 		return s.backoff(), true
 	}
 	in := choose(answer, s.tried)
-	fresh := s.id == ""
+	fresh := s.id == "" || (s.renewable && in.ID != s.home)
+	s.renewable = false
 	if fresh {
+		s.home = in.ID
 		s.id = in.IDPrefix + uuid.NewString()
 	}
 	resp, sent, err := s.send(ctx, in.Address)
@@ -183,6 +193,7 @@
 		return s.backoff(), true
 	}
 	s.result.Outcome = fault.Unknown
+	s.unsettled = true
 	if ctx.Err() != nil {
 		s.result.Unanswered++
 		return 0, false
@@ -205,6 +216,7 @@
 	case fault.NotRun, fault.Unknown:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 		s.result.Outcome = outcome
+		s.renewable = outcome == fault.NotRun && !s.unsettled
 		if s.result.Kind == fault.KindLeaving.String() {
 			s.tried[in.ID] = true
 			s.caller.lookups.expire(s.request.Route)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -33,6 +33,9 @@
 	Self      platform.Instance
 	Listeners Listeners
 	Cluster   Cluster
+	// Instances is read for the home of a repeat that the cluster does not
+	// know yet. Nil switches that off.
+	Instances platform.Instances
 	Log       *zap.Logger
 	// Seed starts the random choices.
 	Seed uint64
@@ -49,6 +52,7 @@
 	dialer    *upstream.Dialer
 	waiters   *waiters
 	repeats   *repeats
+	finder    *finder
 	drains    *drains
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
@@ -76,6 +80,7 @@
 		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
+	n.finder = newFinder(c.Instances, n.dialer)
 	n.drains = newDrains(n.recordDrain)
 	if a, ok := c.Cluster.(Attacher); ok {
 		a.Attach(n.core)
@@ -168,4 +173,5 @@
 func (n *Node) closeClients() {
 	v := n.view.Load()
 	closeGone(v, &view{})
+	n.finder.close()
 }
--- a/pkg/node/repeats.go
+++ b/pkg/node/repeats.go
@@ -130,7 +130,11 @@
 // passHome passes a repeat to the instance that its id names. When that can't
 // be reached, nothing is known about the request.
 func (x *exchange) passHome(id outcome.ID) {
-	c := x.view.homes[home{id.Instance, id.Incarnation}]
+	key := home{id.Instance, id.Incarnation}
+	c := x.view.homes[key]
+	if c == nil && !x.atHome && id.Instance != x.node.self.ID {
+		c = x.node.finder.find(x.ctx, key)
+	}
 	if c == nil || x.atHome {
 		x.refuse(caller.Refusal{Kind: fault.KindHomeGone, Message: "instance " + id.Instance + " of that incarnation is gone"})
 		return
--- a/pkg/node/repeats_test.go
+++ b/pkg/node/repeats_test.go
@@ -209,3 +209,26 @@
 		t.Errorf("%v, %d runs", resp.Header, runs.Load())
 	}
 }
+
+// listOnly is the platform's list of a test.
+type listOnly struct {
+	platform.Instances
+	list []platform.Instance
+}
+
+func (l listOnly) ListInstances(context.Context) ([]platform.Instance, error) { return l.list, nil }
+
+func TestHomeThatTheClusterLacksIsFoundInTheList(t *testing.T) {
+	var runs atomic.Int32
+	a, b := pair(t, counted(&runs))
+	id := orderID(t, a, "o-1")
+	b.cluster.list.Store(&[]platform.Instance{b.self})
+	b.takeNews()
+	b.finder.list = listOnly{list: []platform.Instance{a.self, b.self}}
+	for range 2 {
+		_, body, err := order(t.Context(), b, id)
+		if err != nil || body != "run 1" {
+			t.Errorf("answer %q, %v", body, err)
+		}
+	}
+}
