Pass an edit on as the rows that it changes

Weighed: a generic difference of JSON, one more format to check; a row of the table service for each route and pool, which makes an edit a transaction over many rows and a start many reads.

Change: each version is stored as a patch beside its content. A Loader follows patches back to what it holds and checks the hash of the result; what does not fit falls back to the whole content. Shares at acceptance are stored only for routes that are moving.

A patch that is missing, damaged, of another version or in a circle costs one read of the whole.

--- a/pkg/capacity/compute.go
+++ b/pkg/capacity/compute.go
@@ -95,9 +95,12 @@
 func number(v float64) string { return strconv.FormatFloat(v, 'g', digits, 64) }
 
 // Tightest returns the known row with the smallest margin, which breaks first
-// as the size grows; ok is false when there is none.
+// as the size grows; ok is false when there is none. Fall-backs don't count.
 func Tightest(rows []Row) (tightest Row, ok bool) {
 	for _, r := range rows {
+		if r.Mechanism == mechanismFallback {
+			continue
+		}
 		if r.Known && r.Budget > 0 && r.Margin > 0 && (!ok || r.Margin < tightest.Margin) {
 			tightest, ok = r, true
 		}
--- a/pkg/capacity/roles.go
+++ b/pkg/capacity/roles.go
@@ -19,7 +19,8 @@
 	terms []term
 	// limit returns the budget, or zero for none.
 	limit func(Budget) float64
-	// mechanism carries the need.
+	// mechanism carries the need; mechanismFallback marks one that is only
+	// used when another fails.
 	mechanism string
 }
 
@@ -37,6 +38,9 @@
 
 const nanosecond = 1e-9
 
+// mechanismFallback marks needs that arise only when another way fails.
+const mechanismFallback = "the fall-back only"
+
 func core(b Budget) float64    { return b.CoreFraction }
 func memory(b Budget) float64  { return b.MemoryBytes }
 func control(b Budget) float64 { return b.ControlBytesPerSecond }
@@ -55,8 +59,10 @@
 	{roleForwarder, "processor, forwarding", "cores", nanosecond, []term{{slope: "forward_ns", driver: "requests_per_daemon"}}, core, "streaming with pooled buffers"},
 	{roleForwarder, "processor, decisions", "cores", nanosecond, []term{{slope: "decide_ns", driver: "requests_per_daemon"}}, core, "choice among the zone's own targets"},
 	{roleWatcher, "bytes, watching the head", "B/s", 1, []term{{slope: "head_poll_bytes", driver: "polls_per_watcher"}}, control, "conditional reads"},
-	{roleWatcher, "bytes, loading changed tables", "B/s", 1, []term{{slope: "tables_bytes", driver: "target_loads_per_second", noIntercept: true}}, control, "whole content by hash"},
-	{roleWatcher, "processor, loading changed tables", "cores", nanosecond, []term{{slope: "tables_load_ns", driver: "target_loads_per_second", noIntercept: true}}, core, "parse and validation of each version"},
+	{roleWatcher, "bytes, learning edits by patches", "B/s", 1, []term{{slope: "learn_edit_bytes", driver: "changes_per_second"}}, control, "the rows that an edit changes, checked by the hash of the whole"},
+	{roleWatcher, "processor, learning edits by patches", "cores", nanosecond, []term{{slope: "learn_edit_ns", driver: "target_loads_per_second", noIntercept: true}}, core, "hash and validation of the whole"},
+	{roleWatcher, "bytes, if each version were read whole", "B/s", 1, []term{{slope: "tables_bytes", driver: "target_loads_per_second", noIntercept: true}}, control, mechanismFallback},
+	{roleWatcher, "processor, if each version were read whole", "cores", nanosecond, []term{{slope: "tables_load_ns", driver: "target_loads_per_second", noIntercept: true}}, core, mechanismFallback},
 	{roleWatcher, "bytes, telling the zone", "B/s", 1, []term{{slope: "propagation_bytes_per_s", driver: "zone_daemons"}}, control, "digests, then content to those that lack it"},
 	{roleWatcher, "time from acceptance to in force", "s", 1, []term{{slope: "in_force_seconds", driver: "zone_daemons"}}, inForce, "watchers by rendezvous hash in each zone"},
 	{roleHolder, "bytes, heartbeats and transfers", "B/s", 1, []term{{slope: "heartbeat_bytes_per_s", driver: "zone_daemons"}}, control, "shares by target and region"},
--- a/pkg/operate/edit.go
+++ b/pkg/operate/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/plan"
@@ -129,10 +130,38 @@
 func (s *Session) accept(ctx context.Context, t *table.Tables, sig Signature) (tablestore.Head, error) {
 	return tablestore.Accept(ctx, s.Tables, s.Objects, tablestore.Edit{
 		ID: sig.EditID, Author: sig.Author, Reason: sig.Reason, Tables: t,
-		Shifts: func(current *table.Tables, now time.Time) []table.Shift { return shift.Snapshot(current, now) },
+		Shifts: func(current *table.Tables, now time.Time) []table.Shift { return startOf(current, t, now) },
 	})
 }
 
+// startOf returns the shares in force at now as the start of next's shifts. A
+// route that is at its weights already needs none, since that is where a
+// route without shares starts.
+func startOf(current, next *table.Tables, now time.Time) []table.Shift {
+	t := next.WithDefaults()
+	t.AcceptedAt = now
+	t.Shifts = shift.Snapshot(current, now)
+	var moving []table.Shift
+	for i := range t.Routes {
+		if isMoving(t, &t.Routes[i]) {
+			for _, s := range t.Shifts {
+				if s.Route == t.Routes[i].Name {
+					moving = append(moving, s)
+				}
+			}
+		}
+	}
+	return moving
+}
+
+// isMoving reports whether the route's shares at acceptance differ from those
+// that it would start at without them.
+func isMoving(t *table.Tables, r *table.Route) bool {
+	settled := *t
+	settled.Shifts = nil
+	return !slices.Equal(shift.Shares(t, r, t.AcceptedAt), shift.Shares(&settled, r, t.AcceptedAt))
+}
+
 // Exported is one version as two files.
 type Exported struct {
 	Head   tablestore.Head `json:"head"`
--- /dev/null
+++ b/pkg/table/patch.go
@@ -0,0 +1,146 @@
+package table
+
+import (
+	"reflect"
+	"slices"
+)
+
+// Patch turns one version of the tables, as edited, into a later one. It
+// holds only the rows that differ.
+type Patch struct {
+	Version uint64           `json:"version"`
+	Routes  RowPatch[Route]  `json:"routes,omitzero"`
+	Pools   RowPatch[Pool]   `json:"pools,omitzero"`
+	Regions RowPatch[Region] `json:"regions,omitzero"`
+	Shifts  RowPatch[Shift]  `json:"shifts,omitzero"`
+}
+
+// RowPatch is the difference between two lists of rows.
+type RowPatch[T any] struct {
+	// Set holds the rows that changed or were added.
+	Set []T `json:"set,omitempty"`
+	// Remove names the rows that were removed.
+	Remove []string `json:"remove,omitempty"`
+	// Order names all rows; it is empty when the rows that stayed keep their
+	// order and the added ones follow them.
+	Order []string `json:"order,omitempty"`
+}
+
+// IsZero reports whether the lists are the same.
+func (p RowPatch[T]) IsZero() bool { return len(p.Set)+len(p.Remove)+len(p.Order) == 0 }
+
+func routeKey(r *Route) string   { return r.Name }
+func poolKey(p *Pool) string     { return p.Name }
+func regionKey(r *Region) string { return r.Name }
+func shiftKey(s *Shift) string   { return s.Route + " " + s.Pool }
+
+// PatchOf returns the patch from old to new. Both must be valid.
+func PatchOf(old, new *Tables) Patch {
+	return Patch{
+		Version: new.Version,
+		Routes:  patchRows(old.Routes, new.Routes, routeKey, sameRoute),
+		Pools:   patchRows(old.Pools, new.Pools, poolKey, samePool),
+		Regions: patchRows(old.Regions, new.Regions, regionKey, func(a, b *Region) bool { return *a == *b }),
+		Shifts:  patchRows(old.Shifts, new.Shifts, shiftKey, func(a, b *Shift) bool { return *a == *b }),
+	}
+}
+
+// Apply returns the tables after the patch. old stays as it is. The result of
+// a patch that was made for other tables must be told apart by its content.
+func (p Patch) Apply(old *Tables) *Tables {
+	t := old.Clone()
+	t.Version = p.Version
+	t.Routes = p.Routes.apply(t.Routes, routeKey)
+	t.Pools = p.Pools.apply(t.Pools, poolKey)
+	t.Regions = p.Regions.apply(t.Regions, regionKey)
+	t.Shifts = p.Shifts.apply(t.Shifts, shiftKey)
+	return t
+}
+
+func sameRoute(a, b *Route) bool {
+	x, y := *a, *b
+	x.Pools, y.Pools = nil, nil
+	return reflect.DeepEqual(x, y) && slices.Equal(a.Pools, b.Pools)
+}
+
+func samePool(a, b *Pool) bool {
+	x, y := *a, *b
+	x.Targets, y.Targets = nil, nil
+	return reflect.DeepEqual(x, y) && slices.Equal(a.Targets, b.Targets)
+}
+
+// patchRows compares two lists of rows by key.
+func patchRows[T any](old, new []T, key func(*T) string, same func(a, b *T) bool) RowPatch[T] {
+	var p RowPatch[T]
+	before, after := index(old, key), index(new, key)
+	for i := range old {
+		if after[key(&old[i])] == nil {
+			p.Remove = append(p.Remove, key(&old[i]))
+		}
+	}
+	for i := range new {
+		if was := before[key(&new[i])]; was == nil || !same(was, &new[i]) {
+			p.Set = append(p.Set, new[i])
+		}
+	}
+	order := keys(new, key)
+	if !slices.Equal(keys(p.apply(old, key), key), order) {
+		p.Order = order
+	}
+	return p
+}
+
+// apply returns the rows after the patch.
+func (p RowPatch[T]) apply(old []T, key func(*T) string) []T {
+	if p.IsZero() {
+		return old
+	}
+	set := index(p.Set, key)
+	removed := make(map[string]bool, len(p.Remove))
+	for _, k := range p.Remove {
+		removed[k] = true
+	}
+	var rows []T
+	for i := range old {
+		k := key(&old[i])
+		if removed[k] {
+			continue
+		}
+		if s := set[k]; s != nil {
+			rows = append(rows, *s)
+			delete(set, k)
+			continue
+		}
+		rows = append(rows, old[i])
+	}
+	for i := range p.Set {
+		if set[key(&p.Set[i])] != nil {
+			rows = append(rows, p.Set[i])
+		}
+	}
+	return inOrder(rows, p.Order, key)
+}
+
+// inOrder arranges rows by the given keys, if there are any.
+func inOrder[T any](rows []T, order []string, key func(*T) string) []T {
+	if len(order) == 0 {
+		return rows
+	}
+	byKey := index(rows, key)
+	out := make([]T, 0, len(order))
+	for _, k := range order {
+		if row := byKey[k]; row != nil {
+			out = append(out, *row)
+		}
+	}
+	return out
+}
+
+// keys lists the keys of rows.
+func keys[T any](rows []T, key func(*T) string) []string {
+	out := make([]string, len(rows))
+	for i := range rows {
+		out[i] = key(&rows[i])
+	}
+	return out
+}
--- a/pkg/table/rapid_test.go
+++ b/pkg/table/rapid_test.go
@@ -1,10 +1,12 @@
 package table
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -221,3 +223,32 @@
 		t.Fatalf("problems = %v", ps)
 	}
 }
+
+func TestPatchLeadsFromOneVersionToTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, next := genTables().Draw(t, "old"), genTables().Draw(t, "new")
+		if rapid.Bool().Draw(t, "reversed") {
+			slices.Reverse(next.Pools)
+		}
+		next.Shifts = []Shift{{Route: "route-0", Pool: "pool.0", Share: rapid.Float64Range(0, 1).Draw(t, "share")}}
+		data, err := json.Marshal(PatchOf(old, next))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var p Patch
+		if err := json.Unmarshal(data, &p); err != nil {
+			t.Fatal(err)
+		}
+		before := old.Clone()
+		got := p.Apply(old)
+		if !same(got, next) || !reflect.DeepEqual(got.Shifts, next.Shifts) {
+			t.Fatalf("patch %s\ngave %+v\nwant %+v", data, got, next)
+		}
+		if !same(old, before) {
+			t.Fatal("the old tables changed")
+		}
+		if p := PatchOf(next, next); !p.Pools.IsZero() || !p.Routes.IsZero() || !p.Regions.IsZero() || !p.Shifts.IsZero() {
+			t.Fatalf("the patch to the same is %+v", p)
+		}
+	})
+}
--- a/pkg/tablestore/accept.go
+++ b/pkg/tablestore/accept.go
@@ -128,18 +128,17 @@
 
 // prepare stores the content of the next version and returns its writes.
 func (a *acceptor) prepare(ctx context.Context, current Head, etag string) (Head, []platform.Write, error) {
-	next := a.edit.Tables.Clone()
-	next.Version = current.Version + 1
-	shifts, err := a.shifts(ctx, current)
+	old, err := LoadAccepted(ctx, a.objects, current)
 	if err != nil {
 		return Head{}, nil, err
 	}
-	next.Shifts = shifts
-	name, data, err := Encode(next)
-	if err != nil {
+	next := a.edit.Tables.Clone()
+	next.Version = current.Version + 1
+	if next.Shifts, err = a.shifts(ctx, old); err != nil {
 		return Head{}, nil, err
 	}
-	if err := a.objects.PutObject(ctx, name, data); err != nil {
+	name, err := a.putContent(ctx, current.Object, old, next)
+	if err != nil {
 		return Head{}, nil, err
 	}
 	head := Head{Version: next.Version, EditID: a.edit.ID, Author: a.edit.Author, Reason: a.edit.Reason, Object: name}
@@ -153,20 +152,31 @@
 	}, nil
 }
 
+// putContent stores next, and how it follows from old, and returns its name.
+func (a *acceptor) putContent(ctx context.Context, from string, old, next *table.Tables) (string, error) {
+	name, data, err := Encode(next)
+	if err != nil {
+		return "", err
+	}
+	if err := a.objects.PutObject(ctx, name, data); err != nil {
+		return "", err
+	}
+	if old.Version == 0 {
+		return name, nil
+	}
+	return name, putPatch(ctx, a.objects, from, old, next, name)
+}
+
 // shifts computes the shares in force from the tables that are current.
-func (a *acceptor) shifts(ctx context.Context, current Head) ([]table.Shift, error) {
+func (a *acceptor) shifts(ctx context.Context, current *table.Tables) ([]table.Shift, error) {
 	if a.edit.Shifts == nil || current.Version == 0 {
 		return nil, nil
 	}
-	tables, err := Load(ctx, a.objects, current)
-	if err != nil {
-		return nil, err
-	}
 	now, err := readClock(ctx, a.tables)
 	if err != nil {
 		return nil, err
 	}
-	return a.edit.Shifts(tables, now), nil
+	return a.edit.Shifts(current.WithDefaults(), now), nil
 }
 
 // readBack adds the time of acceptance to head where the store can be read.
--- a/test/slopes/slopes_test.go
+++ b/test/slopes/slopes_test.go
@@ -40,6 +40,8 @@
 	{"block_delta_ns", "ns a changed block", blockDelta, "deltas of 100 blocks on 2.3 million"},
 	{"tables_bytes", "B a target", tablesBytes, "content of the tables at 32 to 2,000 targets"},
 	{"tables_load_ns", "ns a target", tablesLoad, "hash, parse, validation and defaults at 32 to 2,000 targets"},
+	{"learn_edit_bytes", "B an edit", learnBytes, "changed head and patch over HTTP, both ways, an edit of one target of 2,000 in a pool of eight"},
+	{"learn_edit_ns", "ns a target", learnTime, "patch read over HTTP, applied, hashed and validated at 32 to 2,000 targets"},
 	{"edit_ns", "ns a target", editTime, "parse of both files, validation, difference, content at 32 to 2,000 targets"},
 	{"head_poll_bytes", "B a poll", pollBytes, "bytes both ways of a conditional read of the head over HTTP"},
 	{"head_poll_reads", "reads a poll", pollReads, "calls counted at the table service"},
--- a/test/slopes/tables_test.go
+++ b/test/slopes/tables_test.go
@@ -207,35 +207,107 @@
 	return n, err
 }
 
-func pollBytes(t *testing.T, _ bool) capacity.Line {
-	store := standin.New(time.Now)
-	e := tablestore.Edit{ID: "e", Tables: tables(32)}
-	if _, err := tablestore.Accept(context.Background(), store, store, e); err != nil {
-		t.Fatal(err)
-	}
+// overHTTP serves the store and returns a client whose bytes are counted.
+func overHTTP(t *testing.T, store *standin.Store) (*platform.Client, *atomic.Int64) {
 	server := httptest.NewServer(standin.Handler(store))
-	defer server.Close()
-	var bytes atomic.Int64
+	t.Cleanup(server.Close)
+	bytes := &atomic.Int64{}
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return countingConn{conn, &bytes}, err
+		return countingConn{conn, bytes}, err
 	}}
 	client := platform.NewClient(server.URL, transport)
-	defer client.Close()
-	_, etag, _, err := tablestore.ReadHead(context.Background(), client, "")
+	t.Cleanup(client.Close)
+	return client, bytes
+}
+
+// accept makes tables of n targets, one of them changed, the next version.
+func accept(t *testing.T, store *standin.Store, n, version int) {
+	tb := tables(n)
+	tb.Version = uint64(version)
+	tb.Pools[0].Targets[0].Slots = 4 + version
+	e := tablestore.Edit{ID: fmt.Sprint(version), Author: "an operator", Reason: "more slots", Tables: tb}
+	if _, err := tablestore.Accept(context.Background(), store, store, e); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readHead reads the head with the given ETag.
+func readHead(t *testing.T, c platform.Tables, etag string) (head tablestore.Head, newETag string, changed bool) {
+	head, newETag, changed, err := tablestore.ReadHead(context.Background(), c, etag)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return head, newETag, changed
+}
+
+func pollBytes(t *testing.T, _ bool) capacity.Line {
+	store := standin.New(time.Now)
+	accept(t, store, 32, 0)
+	client, bytes := overHTTP(t, store)
+	_, etag, _ := readHead(t, client, "")
 	bytes.Store(0)
 	const polls = 10
 	for range polls {
-		if _, _, changed, err := tablestore.ReadHead(context.Background(), client, etag); err != nil || changed {
-			t.Fatal(changed, err)
+		if _, _, changed := readHead(t, client, etag); changed {
+			t.Fatal("the head changed without an edit")
 		}
 	}
 	return capacity.Line{Slope: float64(bytes.Load()) / polls}
 }
 
+// learnEdits has a loader follow edits of one target over HTTP, and returns
+// the mean bytes and nanoseconds of an edit.
+func learnEdits(t *testing.T, targets int) (bytesPerEdit, ns float64) {
+	ctx := context.Background()
+	store := standin.New(time.Now)
+	accept(t, store, targets, 0)
+	client, bytes := overHTTP(t, store)
+	loader := tablestore.NewLoader(client)
+	head, etag, _ := readHead(t, client, "")
+	if _, err := loader.Load(ctx, head); err != nil {
+		t.Fatal(err)
+	}
+	var took time.Duration
+	bytes.Store(0)
+	const edits = 5
+	for v := range edits {
+		accept(t, store, targets, v+1)
+		head, etag, _ = readHead(t, client, etag)
+		start := time.Now()
+		if _, err := loader.Load(ctx, head); err != nil {
+			t.Fatal(err)
+		}
+		took += time.Since(start)
+		if len(loader.Last().Patch) == 0 {
+			t.Fatal("the content was read whole")
+		}
+	}
+	return float64(bytes.Load()) / edits, float64(took.Nanoseconds()) / edits
+}
+
+func learnBytes(t *testing.T, full bool) capacity.Line {
+	n := 64
+	if full {
+		n = 2000
+	}
+	bytes, _ := learnEdits(t, n)
+	return capacity.Line{Slope: bytes}
+}
+
+func learnTime(t *testing.T, full bool) capacity.Line {
+	sizes := []float64{32, 64, 128}
+	if full {
+		sizes = []float64{32, 500, 1000, 2000}
+	}
+	var points []capacity.Point
+	for _, n := range sizes {
+		_, ns := learnEdits(t, int(n))
+		points = append(points, capacity.Point{X: n, Y: ns})
+	}
+	return capacity.Fit(points)
+}
+
 func decideTime(t *testing.T, full bool) capacity.Line {
 	now := time.Unix(1_800_000_000, 0)
 	tb := tables(32)
