Let an instance explain its decisions and show its pools

Cause: the operators' explain and watch had nothing to ask: the admin listener knew neither, and the status listed no pools.

Weighed: asking the decision itself with a made-up request. Ruled out, because deciding counts and takes; the view is read from the same state and takes nothing, which a test checks.

Change: the decisions give views of pools, targets and zones with the reason that excludes each; the admin listener serves them, and the status lists each pool with its requests in flight, queue, slots, draining targets and latency. New files beside the decisions and the node; in the latter one line records an answer and one serves the explanation.

--- a/cmd/jacinthramp/tables_text.go
+++ b/cmd/jacinthramp/tables_text.go
@@ -190,6 +190,9 @@
 		for _, tg := range p.Targets {
 			fmt.Fprintf(w, "    target %s (%s), %d in flight of %d: %s\n", tg.Target, tg.Zone, tg.InFlight, tg.Share, orEligible(tg.Excluded))
 		}
+		for _, z := range p.Zones {
+			fmt.Fprintf(w, "    zone %s, costs %.1f ms more: %s\n", z.Zone, z.CostMS, orEligible(z.Excluded))
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/decision/steer/explain.go
@@ -0,0 +1,209 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// PoolView is how this instance sees one pool now.
+type PoolView struct {
+	Pool   string
+	Region string
+	// Share is the pool's planned fraction of a route's traffic; it is only
+	// set by Explain.
+	Share float64
+	// InFlight and Queued count this instance's requests to targets of this
+	// zone; Slots is what it may have in flight there.
+	InFlight int
+	Queued   int
+	Slots    int
+	// Excluded says why nothing goes to the pool; empty when it may be chosen.
+	Excluded string
+	// Targets are those of this zone; Zones are the others with targets.
+	Targets []TargetView
+	Zones   []ZoneView
+}
+
+// TargetView is how this instance sees one target of its zone.
+type TargetView struct {
+	Target   string
+	InFlight int
+	Share    int
+	// Leaving is set when the target gets no new work for good.
+	Leaving bool
+	// Excluded says why nothing goes to the target; empty when it may be chosen.
+	Excluded string
+}
+
+// ZoneView is how this instance sees a pool in another zone.
+type ZoneView struct {
+	Zone string
+	// Cost is what a hop is estimated to take beyond a free slot here.
+	Cost time.Duration
+	// Excluded says why nothing goes to the zone; empty when it may be chosen.
+	Excluded string
+}
+
+// Explanation says where a request of a route would go now, and why.
+type Explanation struct {
+	Verdict Verdict
+	Pool    string
+	Target  string
+	Zone    string
+	// Kind is set with Refuse.
+	Kind fault.Kind
+	// Pools are in the order in which they are weighed.
+	Pools []PoolView
+}
+
+// Pools returns this instance's view of the pools, ordered by name. It counts
+// nothing and changes nothing.
+func (c *Core) Pools(now time.Time) []PoolView {
+	st := c.state.Load()
+	views := make([]PoolView, 0, len(st.pools))
+	for _, p := range st.pools {
+		views = append(views, c.viewOf(st, p, now))
+	}
+	slices.SortFunc(views, func(a, b PoolView) int { return cmp.Compare(a.Pool, b.Pool) })
+	return views
+}
+
+// Explain says where a request of the named route would go now, if the plan
+// gave it to the pool with the largest share. ok is false when there is no
+// such route. It counts nothing and changes nothing.
+func (c *Core) Explain(now time.Time, routeName string) (e Explanation, ok bool) {
+	st := c.state.Load()
+	rt, ok := st.routes[routeName]
+	if !ok {
+		return Explanation{}, false
+	}
+	planned := map[string]float64{}
+	for _, pk := range rt.plan.Load().picks {
+		planned[pk.pool.name] = pk.planned
+	}
+	for _, w := range st.tables.Route(routeName).Pools {
+		v := c.viewOf(st, st.pools[w.Pool], now)
+		v.Share = planned[w.Pool]
+		if v.Excluded == "" && v.Share == 0 {
+			v.Excluded = "its planned share of the route is nothing now"
+		}
+		e.Pools = append(e.Pools, v)
+	}
+	slices.SortStableFunc(e.Pools, func(a, b PoolView) int { return cmp.Compare(b.Share, a.Share) })
+	e.decide(now.Before(st.expires))
+	return e, true
+}
+
+// decide fills in the verdict from the views of the pools.
+func (e *Explanation) decide(leased bool) {
+	e.Kind = fault.KindNoTarget
+	if !leased {
+		e.Kind = fault.KindShareLapsed
+	}
+	for _, p := range e.Pools {
+		if p.Excluded != "" {
+			continue
+		}
+		if t := p.leastLoaded(); t != nil && p.Queued == 0 {
+			*e = Explanation{Verdict: Dispatch, Pool: p.Pool, Target: t.Target, Pools: e.Pools}
+			return
+		}
+		if z := p.cheapest(); z != nil {
+			*e = Explanation{Verdict: Hop, Pool: p.Pool, Zone: z.Zone, Pools: e.Pools}
+			return
+		}
+		if p.Slots > 0 {
+			*e = Explanation{Verdict: Wait, Pool: p.Pool, Pools: e.Pools}
+			return
+		}
+	}
+}
+
+// leastLoaded returns the target with the smallest part of its share in use.
+func (v PoolView) leastLoaded() *TargetView {
+	var best *TargetView
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if t.Excluded == "" && (best == nil || t.InFlight*best.Share < best.InFlight*t.Share) {
+			best = t
+		}
+	}
+	return best
+}
+
+// cheapest returns the zone of least cost.
+func (v PoolView) cheapest() *ZoneView {
+	var best *ZoneView
+	for i := range v.Zones {
+		z := &v.Zones[i]
+		if z.Excluded == "" && (best == nil || z.Cost < best.Cost) {
+			best = z
+		}
+	}
+	return best
+}
+
+// viewOf returns the view of one pool.
+func (c *Core) viewOf(st *state, p *pool, now time.Time) PoolView {
+	ns := c.nanos(now)
+	v := PoolView{Pool: p.row.Name, Region: p.row.Region, Queued: int(p.queued.Load())}
+	leased := now.Before(st.expires)
+	full := p.region.inFlight.Load() >= p.region.share.Load()
+	for _, m := range p.local {
+		t := m.view(ns)
+		switch {
+		case t.Excluded != "":
+		case !leased:
+			t.Excluded = "this instance's shares have lapsed"
+		case full:
+			t.Excluded = "this instance's share of the region's limit is used up"
+		}
+		v.InFlight += t.InFlight
+		if leased {
+			v.Slots += int(m.usable(ns))
+		}
+		v.Targets = append(v.Targets, t)
+	}
+	local := p.service.Value(priorService)
+	for _, z := range p.zones {
+		zv := ZoneView{Zone: z.name, Cost: z.cost(ns, local)}
+		switch {
+		case z.health.Ejected(ns):
+			zv.Excluded = "hops to it have failed"
+		case !z.open(ns):
+			zv.Excluded = "it has just refused a hop"
+		}
+		v.Zones = append(v.Zones, zv)
+	}
+	switch {
+	case p.row.Drain:
+		v.Excluded = "the pool is drained"
+	case v.leastLoaded() == nil && v.cheapest() == nil && v.Slots == 0:
+		v.Excluded = "no target here and no other zone can take work"
+	}
+	return v
+}
+
+// view returns the view of one target of this zone.
+func (m *member) view(now int64) TargetView {
+	t := TargetView{Target: m.target.Name, InFlight: int(m.inFlight.Load()), Share: int(m.share.Load())}
+	t.Leaving = m.drain || m.leaving.Load()
+	switch {
+	case m.drain:
+		t.Excluded = "drained"
+	case m.leaving.Load():
+		t.Excluded = "leaving"
+	case m.health.Ejected(now):
+		t.Excluded = "ejected after failures"
+	case now < m.pausedTo.Load():
+		t.Excluded = "it has just refused work"
+	case t.Share == 0:
+		t.Excluded = "this instance has no share of its slots"
+	case int64(t.InFlight) >= m.usable(now):
+		t.Excluded = "this instance's share of its slots is used up"
+	}
+	return t
+}
--- a/pkg/node/admin.go
+++ b/pkg/node/admin.go
@@ -10,10 +10,11 @@
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
-// adminHandler serves status and readiness.
+// adminHandler serves status, explanations and readiness.
 func (n *Node) adminHandler() http.Handler {
 	r := httprouter.New()
 	r.GET(wire.PathStatus, n.serveStatus)
+	r.GET(wire.PathExplain, n.serveExplain)
 	r.GET(wire.PathReady, n.serveReady)
 	return r
 }
@@ -34,7 +35,7 @@
 		Rejected:    n.cluster.Rejected(),
 		Leaving:     n.leaving(),
 		InFlight:    int(n.inFlight.Load()),
-		Pools:       []wire.PoolStatus{},
+		Pools:       n.poolStatuses(),
 	}
 }
 
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -129,6 +129,7 @@
 	var res steer.Result
 	var err error
 	defer func() {
+		x.node.latencies.observe(d, res)
 		x.node.waiters.deliver(x.node.core.Done(x.node.now(), d, res))
 	}()
 	if d.Verdict == steer.Hop {
--- /dev/null
+++ b/pkg/node/explain.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// verdictNames are the verdicts as explanations name them.
+var verdictNames = map[steer.Verdict]string{
+	steer.Refuse: "refuse", steer.Dispatch: "dispatch", steer.Hop: "hop", steer.Wait: "wait",
+}
+
+// serveExplain answers where a request would go now, and why.
+func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := r.URL.Query()
+	name := q.Get(wire.QueryRoute)
+	v := n.view.Load()
+	if name == "" {
+		if rt := v.matcher.Match(q.Get(wire.QueryHost), q.Get(wire.QueryPath)); rt != nil {
+			name = rt.Name
+		}
+	}
+	e, ok := n.core.Explain(n.now(), name)
+	if !ok {
+		caller.Refusal{Kind: fault.KindUnknownRoute}.Write(w)
+		return
+	}
+	writeJSON(w, n.explanation(name, e))
+}
+
+// explanation brings e into its message.
+func (n *Node) explanation(route string, e steer.Explanation) wire.Explanation {
+	out := wire.Explanation{
+		Instance: n.self.ID, Version: n.core.Tables().Version, Route: route,
+		Verdict: verdictNames[e.Verdict], Pool: e.Pool, Target: e.Target, Zone: e.Zone,
+	}
+	if e.Verdict == steer.Refuse {
+		out.Kind = e.Kind.String()
+	}
+	for _, p := range e.Pools {
+		out.Pools = append(out.Pools, n.poolExplanation(p))
+	}
+	return out
+}
+
+func (n *Node) poolExplanation(p steer.PoolView) wire.PoolExplanation {
+	out := wire.PoolExplanation{Pool: p.Pool, Region: p.Region, Share: p.Share, Excluded: p.Excluded}
+	for _, t := range p.Targets {
+		out.Targets = append(out.Targets, wire.TargetExplanation{
+			Target: t.Target, Zone: n.self.Zone, InFlight: t.InFlight, Share: t.Share, Excluded: t.Excluded,
+		})
+	}
+	for _, z := range p.Zones {
+		out.Zones = append(out.Zones, wire.ZoneExplanation{Zone: z.Zone, CostMS: milliseconds(z.Cost), Excluded: z.Excluded})
+	}
+	return out
+}
+
+// poolStatuses returns this instance's view of the pools.
+func (n *Node) poolStatuses() []wire.PoolStatus {
+	out := []wire.PoolStatus{}
+	for _, p := range n.core.Pools(n.now()) {
+		s := wire.PoolStatus{Pool: p.Pool, InFlight: p.InFlight, Queued: p.Queued, Slots: p.Slots}
+		for _, t := range p.Targets {
+			switch {
+			case t.Leaving && t.InFlight > 0:
+				s.Draining++
+			case !t.Leaving:
+				s.Targets++
+			}
+		}
+		s.LatencyMS, s.Latency99MS = n.latencies.quantiles(p.Pool)
+		out = append(out, s)
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -49,6 +49,7 @@
 	dialer    *upstream.Dialer
 	waiters   *waiters
 	repeats   *repeats
+	latencies *latencies
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
 	inFlight  atomic.Int64
@@ -79,6 +80,7 @@
 		a.Attach(n.core)
 		n.attached = true
 	}
+	n.latencies = newLatencies(n.now)
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
--- a/pkg/wire/explain.go
+++ b/pkg/wire/explain.go
@@ -35,7 +35,19 @@
 	Share float64 `json:"share"`
 	// Excluded says why nothing goes to the pool; empty when it may be chosen.
 	Excluded string              `json:"excluded,omitempty"`
-	Targets  []TargetExplanation `json:"targets,omitempty"`
+	// Targets are those of the instance's own zone; Zones are the others.
+	Targets []TargetExplanation `json:"targets,omitempty"`
+	Zones   []ZoneExplanation   `json:"zones,omitempty"`
+}
+
+// ZoneExplanation says how another zone's part of the pool was weighed.
+type ZoneExplanation struct {
+	Zone string `json:"zone"`
+	// CostMS is what a hop is estimated to take beyond a free slot here, in
+	// milliseconds.
+	CostMS float64 `json:"cost_ms"`
+	// Excluded says why nothing goes to the zone; empty when it may be chosen.
+	Excluded string `json:"excluded,omitempty"`
 }
 
 // TargetExplanation says how one target was weighed.
