--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -96,12 +96,13 @@
 // idempotent or was not run, within the attempts and the deadline. A request
 // that another instance passed on is only retried there.
 func (c *Core) MayRetry(now time.Time, r *Request, res Result) bool {
+	if res.Kind.Answer().Outcome == fault.Unknown && !r.mayHaveRun {
+		r.mayHaveRun = true
+		r.unknown = res.Kind
+	}
 	if !retryable(res.Kind) || r.Pool != "" || r.Attempts >= maxAttempts || !now.Before(r.Deadline) {
 		return false
 	}
-	if res.Kind.Answer().Outcome != fault.NotRun {
-		r.mayHaveRun = true
-	}
 	if r.mayHaveRun && !r.Idempotent {
 		return false
 	}
--- a/pkg/decision/steer/pool.go
+++ b/pkg/decision/steer/pool.go
@@ -40,6 +40,7 @@
 	queued atomic.Int64
 	// The rest is guarded by the lock of the waiting requests.
 	queue   *queue.Queue
+	listed  bool
 	blocked bool
 }
 
--- a/pkg/decision/steer/slot.go
+++ b/pkg/decision/steer/slot.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// remembered reports whether the slot must outlive its row in the tables: it
+// has requests in flight, or would forget that the target is leaving.
+func (s *slot) remembered(now int64) bool {
+	return s.inFlight.Load() > 0 || (s.leaving.Load() && now-s.leavingAt.Load() <= leavingHold.Nanoseconds())
+}
+
 // observe takes in a report of the target about itself.
 func (s *slot) observe(now, at int64, rep *LoadReport) {
 	known := s.incarnation.Load()
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -46,7 +46,7 @@
 		routes:  make(map[string]*route),
 	}
 	for name, s := range old.slots {
-		if s.inFlight.Load() > 0 {
+		if s.remembered(c.nanos(now)) {
 			st.slots[name] = s
 		}
 	}
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -46,6 +46,8 @@
 	triedCount int
 	// mayHaveRun is set once an attempt had an unknown outcome.
 	mayHaveRun bool
+	// unknown is the kind of the first such attempt.
+	unknown fault.Kind
 }
 
 // maxAttempts bounds the dispatches and hops of one request.
@@ -174,3 +176,16 @@
 	// a zone the smallest counts, and the longest Uptime.
 	Share float64
 }
+
+// MayHaveRun reports whether an attempt of the request had an unknown outcome.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
+// Answer returns the kind that the caller must be told when the last attempt
+// or decision ended with k: a refusal is not "not run" once an earlier
+// attempt may have run.
+func (r *Request) Answer(k fault.Kind) fault.Kind {
+	if r.mayHaveRun && k.Answer().Outcome == fault.NotRun {
+		return r.unknown
+	}
+	return k
+}
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -49,7 +49,12 @@
 	w.push(p.poolStats, it, func(victim *queue.Item) Wakeup {
 		return Wakeup{Ticket: victim.Ticket, Decision: c.overloaded(need)}
 	})
-	c.serve(st, now)
+	// A slot may have become free since r was found to have to wait. Others in
+	// line are left to Done and Tick, which return their decisions at once.
+	if p.queue.Peek() == it {
+		c.serveOne(st, p.poolStats, now)
+		p.queued.Store(int64(p.queue.Len()))
+	}
 	return w.claim(it.Ticket, p.name)
 }
 
@@ -76,7 +81,8 @@
 
 // push adds it to the queue of p. The caller holds mu.
 func (w *waiting) push(p *poolStats, it *queue.Item, refusal func(*queue.Item) Wakeup) {
-	if p.queue.Len() == 0 {
+	if !p.listed {
+		p.listed = true
 		w.pools = append(w.pools, p)
 	}
 	w.count.Add(1)
@@ -143,7 +149,8 @@
 	kept := w.pools[:0]
 	for _, p := range w.pools {
 		p.queued.Store(int64(p.queue.Len()))
-		if p.queue.Len() > 0 {
+		p.listed = p.queue.Len() > 0
+		if p.listed {
 			kept = append(kept, p)
 		}
 	}
