--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,10 +48,13 @@
 	core      *steer.Core
 	dialer    *upstream.Dialer
 	waiters   *waiters
+	repeats   *repeats
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
 	inFlight  atomic.Int64
 	now       func() time.Time
+	// attached is set when the cluster sets the shares itself.
+	attached bool
 }
 
 // tickInterval is the time between two looks at the queued requests.
@@ -69,8 +72,13 @@
 		core:      steer.New(place, rand.NewPCG(c.Seed, c.Seed^uint64(len(c.Self.ID)))),
 		dialer:    upstream.NewDialer(upstream.Options{DialTimeout: c.Settings.Limits.DialTimeout.Std()}),
 		waiters:   newWaiters(),
+		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
+	if a, ok := c.Cluster.(Attacher); ok {
+		a.Attach(n.core)
+		n.attached = true
+	}
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -121,7 +129,9 @@
 	n.refresh()
 	if t := n.cluster.Tables(); t != nil {
 		n.core.SetTables(now, t)
-		n.core.SetShares(now, n.cluster.Shares())
+		if !n.attached {
+			n.core.SetShares(now, n.cluster.Shares())
+		}
 	}
 	for _, s := range n.cluster.Summaries() {
 		n.core.ObserveZone(now, s)
