--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -53,6 +53,7 @@
 	waiters   *waiters
 	repeats   *repeats
 	finder    *finder
+	latencies *latencies
 	drains    *drains
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
@@ -86,6 +87,7 @@
 		a.Attach(n.core)
 		n.attached = true
 	}
+	n.latencies = newLatencies(n.now)
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
