Log, count and trace each request

Cause: latency, headroom and drain time are what the users weigh, and nothing showed them.

Change: pkg/telemetry with tally metrics in the Prometheus exposition on the admin listener (requests, latency, pool headroom, drain time, by route, pool, zone and member), OpenTelemetry spans for the request and for each dispatch and hop with the W3C trace context, exported to nothing, standard output or OTLP, and sampled logs: unknown outcomes as warnings, the rest at debug.

Conclusion: the cost of metrics on the path is not measured yet.

--- a/cmd/jacinthrampd/serve.go
+++ b/cmd/jacinthrampd/serve.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 
-	"go.uber.org/zap"
-
 	"github.com/jacinthramp/jacinthramp/pkg/daemon"
-	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // message returns the text of err without its kind's prefix being repeated.
@@ -16,7 +14,7 @@
 
 // serve runs one instance until ctx ends and it has left.
 func serve(ctx context.Context, s *settings.Settings) error {
-	log, err := newLogger(s.Log.Level)
+	log, err := telemetry.NewLogger(s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -28,12 +26,3 @@
 	}
 	return d.Run(ctx)
 }
-
-// newLogger returns a structured log on standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	if err := c.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, fault.Wrap(fault.KindInvalidSettings, err, "log.level")
-	}
-	return c.Build()
-}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -19,6 +20,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // Platform is every service of the platform.
@@ -36,17 +38,26 @@
 	peer  net.Listener
 	serve *instance.Server
 	log   *zap.Logger
+
+	metrics *telemetry.Metrics
+	tracer  *telemetry.Tracer
 }
 
 // New opens the listeners that s names and wires an instance to p. An address
 // that can't be listened on is fault.KindInvalidSettings.
 func New(s *settings.Settings, p Platform, log *zap.Logger) (*Daemon, error) {
+	tracer, err := telemetry.NewTracer(context.Background(), s.Traces, s.Instance.ID, s.Instance.Zone)
+	if err != nil {
+		return nil, err
+	}
 	ls, peer, err := listen(s)
 	if err != nil {
+		_ = tracer.Close(context.Background()) // nothing has been recorded
 		return nil, err
 	}
 	log = log.With(zap.String("instance", s.Instance.ID))
-	d := &Daemon{peer: peer, peers: instance.NewClient(nil), log: log}
+	d := &Daemon{peer: peer, peers: instance.NewClient(nil), log: log, tracer: tracer}
+	d.metrics = telemetry.NewMetrics(s.Instance.ID, s.Instance.Zone)
 	d.self = platform.Instance{
 		ID:            s.Instance.ID,
 		Zone:          s.Instance.Zone,
@@ -64,7 +75,7 @@
 	})
 	d.serve = instance.NewServer(c.Handler(), nil)
 	d.node = node.New(node.Config{
-		Settings: s, Self: d.self, Listeners: ls, Cluster: c, Instances: p, Log: log, Seed: rand.Uint64(),
+		Settings: s, Self: d.self, Metrics: d.metrics, Tracer: tracer, Listeners: ls, Cluster: c, Instances: p, Log: log, Seed: rand.Uint64(),
 	})
 	return d, nil
 }
@@ -86,9 +97,22 @@
 	stop()
 	wg.Wait()
 	d.peers.Close()
+	d.closeTelemetry()
 	return err
 }
 
+// closeTelemetry ends the metrics and sends the last spans.
+func (d *Daemon) closeTelemetry() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := errors.Join(d.metrics.Close(), d.tracer.Close(ctx)); err != nil {
+		d.log.Warn("telemetry was not closed", zap.Error(err))
+	}
+}
+
+// closeTimeout bounds the sending of the last spans.
+const closeTimeout = 2 * time.Second
+
 // newIncarnation returns a value higher than that of any earlier start of the
 // instance: the time in nanoseconds and random bits, in letters and digits.
 func newIncarnation() string {
--- /dev/null
+++ b/pkg/node/account.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
+)
+
+// headroomInterval is the time between two reports of the pools' headroom.
+const headroomInterval = time.Second
+
+// account reports how the request has ended.
+func (x *exchange) account(span trace.Span) {
+	n := x.node
+	took := n.now().Sub(x.req.Arrived)
+	outcome := string(x.kind.Answer().Outcome)
+	telemetry.End(span, x.kind, attribute.String("route", x.req.Route.Name), attribute.Int("attempts", x.req.Attempts))
+	if n.metrics != nil {
+		n.metrics.Request(telemetry.Labels{
+			Route: x.req.Route.Name, Pool: x.last.Pool, Zone: x.lastZone(), Member: x.req.Member,
+			Outcome: outcome, Kind: x.kind.String(),
+		}, took)
+	}
+	level := zap.DebugLevel
+	if x.kind.Answer().Outcome == fault.Unknown {
+		level = zap.WarnLevel
+	}
+	if e := n.log.Check(level, "request"); e != nil {
+		e.Write(
+			zap.String("route", x.req.Route.Name), zap.String("pool", x.last.Pool), zap.String("zone", x.lastZone()),
+			zap.String("target", x.last.Target), zap.String("member", x.req.Member), zap.String("outcome", outcome),
+			zap.String("kind", x.kind.String()), zap.Int("attempts", x.req.Attempts), zap.Duration("took", took),
+		)
+	}
+}
+
+// lastZone returns the zone of the last attempt, or "" without one.
+func (x *exchange) lastZone() string {
+	if x.last.Verdict == steer.Dispatch {
+		return x.node.self.Zone
+	}
+	return x.last.Zone
+}
+
+// traced runs an attempt within a span of its own.
+func (x *exchange) traced(d steer.Decision, run func() error) error {
+	name, attributes := "dispatch", []attribute.KeyValue{attribute.String("pool", d.Pool)}
+	if d.Verdict == steer.Hop {
+		name = "hop"
+		attributes = append(attributes, attribute.String("zone", d.Zone))
+	} else {
+		attributes = append(attributes, attribute.String("target", d.Target))
+	}
+	outer := x.ctx
+	ctx, span := x.node.tracer.Client(outer, x.in.Header, name)
+	if span == nil {
+		return run()
+	}
+	x.ctx = ctx
+	err := run()
+	x.ctx = outer
+	telemetry.End(span, fault.KindOf(err), attributes...)
+	return err
+}
+
+// reportHeadroom reports the pools' headroom until ctx ends.
+func (n *Node) reportHeadroom(ctx context.Context) {
+	t := time.NewTicker(headroomInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			for _, p := range n.core.Pools(now) {
+				n.metrics.Headroom(p.Pool, p.Slots, p.InFlight, p.Queued)
+			}
+		}
+	}
+}
--- a/pkg/node/admin.go
+++ b/pkg/node/admin.go
@@ -10,12 +10,15 @@
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
-// adminHandler serves status, explanations and readiness.
+// adminHandler serves status, explanations, readiness and metrics.
 func (n *Node) adminHandler() http.Handler {
 	r := httprouter.New()
 	r.GET(wire.PathStatus, n.serveStatus)
 	r.GET(wire.PathExplain, n.serveExplain)
 	r.GET(wire.PathReady, n.serveReady)
+	if n.metrics != nil {
+		r.Handler(http.MethodGet, wire.PathMetrics, n.metrics.Handler())
+	}
 	return r
 }
 
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -31,6 +31,9 @@
 	atHome bool
 	// record is set when the outcome must be kept in result.
 	record bool
+	// kind is how the request has ended, and last its last attempt.
+	kind fault.Kind
+	last steer.Decision
 	// proven is set when the request has no id that is honoured, or the
 	// registry has said that this is its first submission.
 	proven bool
@@ -129,6 +132,7 @@
 // attempt carries out d. Without an error the answer has been given.
 func (x *exchange) attempt(d steer.Decision) error {
 	x.req.Attempts++
+	x.last = d
 	start := x.node.now()
 	var res steer.Result
 	var err error
@@ -138,14 +142,15 @@
 	}()
 	if d.Verdict == steer.Hop {
 		x.req.Exclude(d.Zone)
-		err = x.hop(d, start, &res)
+		err = x.traced(d, func() error { return x.hop(d, start, &res) })
 	} else {
 		x.req.Exclude(d.Target)
-		err = x.dispatch(d, start, &res)
+		err = x.traced(d, func() error { return x.dispatch(d, start, &res) })
 	}
 	if err != nil {
 		res.Kind = fault.KindOf(err)
 	}
+	x.kind = res.Kind
 	return err
 }
 
@@ -166,6 +171,7 @@
 	if !x.proven {
 		f = x.node.honest(f, x.in)
 	}
+	x.kind = f.Kind
 	x.result = outcome.Result{Kind: f.Kind}
 	x.closeUnread()
 	f.Write(x.w)
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
@@ -127,7 +128,10 @@
 		},
 	}
 	x.guardCaller()
+	var span trace.Span
+	x.ctx, span = n.tracer.Server(x.ctx, r.Header, "request "+route.Name)
 	x.serve(fields.ID)
+	x.account(span)
 	if x.broken {
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // Listeners are the open listeners of an instance.
@@ -37,6 +38,9 @@
 	// know yet. Nil switches that off.
 	Instances platform.Instances
 	Log       *zap.Logger
+	// Metrics and Tracer may be nil.
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
 	// Seed starts the random choices.
 	Seed uint64
 }
@@ -48,6 +52,8 @@
 	listeners Listeners
 	cluster   Cluster
 	log       *zap.Logger
+	metrics   *telemetry.Metrics
+	tracer    *telemetry.Tracer
 	core      *steer.Core
 	dialer    *upstream.Dialer
 	waiters   *waiters
@@ -75,6 +81,8 @@
 		listeners: c.Listeners,
 		cluster:   c.Cluster,
 		log:       c.Log,
+		metrics:   c.Metrics,
+		tracer:    c.Tracer,
 		core:      steer.New(place, rand.NewPCG(c.Seed, c.Seed^uint64(len(c.Self.ID)))),
 		dialer:    upstream.NewDialer(upstream.Options{DialTimeout: c.Settings.Limits.DialTimeout.Std()}),
 		waiters:   newWaiters(),
@@ -107,6 +115,9 @@
 	wg.Go(func() { n.tick(background) })
 	wg.Go(func() { n.probe(background) })
 	wg.Go(func() { n.sweep(background) })
+	if n.metrics != nil {
+		wg.Go(func() { n.reportHeadroom(background) })
+	}
 	err := n.serve(ctx)
 	stop()
 	wg.Wait()
@@ -168,6 +179,9 @@
 
 // recordDrain reports that a leaving target is empty.
 func (n *Node) recordDrain(name string, took time.Duration) {
+	if n.metrics != nil {
+		n.metrics.Drain(name, took)
+	}
 	n.log.Info("target drained", zap.String("target", name), zap.Duration("took", took))
 }
 
--- /dev/null
+++ b/pkg/node/telemetry_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+func TestEachHopHasASpanOfTheCallersTrace(t *testing.T) {
+	exporter := tracetest.NewInMemoryExporter()
+	tracer := telemetry.NewTracerTo(exporter, 0, "test", "osrednja-a")
+	seen := make(chan string, 1)
+	tables := oneTarget(startTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get("Traceparent")
+	}), "osrednja-b")
+	a, b := startMember(t, "a-1", "osrednja-a"), startMember(t, "b-1", "osrednja-b")
+	a.tracer, b.tracer = tracer, tracer
+	a.run(t, tables, a.self, b.self)
+	b.run(t, tables, a.self, b.self)
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	r, _ := http.NewRequest("GET", a.url()+"/feedlog", nil)
+	r.Header.Set("Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if got := <-seen; !strings.Contains(got, trace) {
+		t.Errorf("the target got traceparent %q", got)
+	}
+	for a.inFlight.Load()+b.inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	tracer.ForceFlush(t.Context())
+	var names []string
+	for _, s := range exporter.GetSpans() {
+		if s.SpanContext.TraceID().String() == trace {
+			names = append(names, s.Name)
+		}
+	}
+	if got := strings.Join(names, ", "); got != "dispatch, request feedlog, hop, request feedlog" {
+		t.Errorf("spans: %s", got)
+	}
+	tracer.Close(t.Context())
+}
+
+func TestMetricsShowLatencyAndHeadroom(t *testing.T) {
+	m := startMember(t, "a-1", "osrednja-a")
+	m.metrics = telemetry.NewMetrics("a-1", "osrednja-a")
+	m.run(t, oneTarget(startTarget(t, echo), "osrednja-a"))
+	r, _ := http.NewRequest("GET", m.url()+"/feedlog", nil)
+	r.Header.Set(wire.HeaderMember, "haulier")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	m.metrics.Drain("t1", time.Second)
+	m.metrics.Headroom("feedlog-osrednja", 8, 2, 0)
+	if err := m.metrics.Close(); err != nil { // reports what has been counted
+		t.Fatal(err)
+	}
+	resp, err = http.Get("http://" + m.self.AdminAddress + wire.PathMetrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	for _, want := range []string{
+		`jacinthramp_requests{instance="a-1"`, `member="haulier"`, `outcome="completed"`, "jacinthramp_latency_seconds_bucket",
+		"jacinthramp_pool_headroom_ratio", "jacinthramp_drain_seconds_bucket",
+	} {
+		if !strings.Contains(string(b), want) {
+			t.Errorf("the exposition lacks %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(string(b))
+	}
+}
--- /dev/null
+++ b/pkg/telemetry/telemetry.go
@@ -0,0 +1,119 @@
+// Package telemetry makes an instance's logs, metrics and traces.
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+)
+
+// NewLogger returns a structured log on standard error. Messages that repeat
+// within a second are sampled: the first hundred, then each hundredth.
+func NewLogger(level string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	if err := c.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, fault.Wrap(fault.KindInvalidSettings, err, "log.level")
+	}
+	return c.Build()
+}
+
+// Tracer records a span for each hop of a request and carries the trace
+// between processes in the fields of the W3C trace context.
+type Tracer struct {
+	provider   *sdktrace.TracerProvider
+	tracer     trace.Tracer
+	propagator propagation.TraceContext
+}
+
+// NewTracer returns a Tracer that exports as s says, or nil with the exporter
+// "none". A nil Tracer does nothing; the fields then pass unchanged.
+func NewTracer(ctx context.Context, s settings.Traces, instance, zone string) (*Tracer, error) {
+	exporter, err := newExporter(ctx, s)
+	if exporter == nil || err != nil {
+		return nil, err
+	}
+	return NewTracerTo(exporter, s.SampleRatio, instance, zone), nil
+}
+
+// newExporter returns the exporter that s names, or nil.
+func newExporter(ctx context.Context, s settings.Traces) (sdktrace.SpanExporter, error) {
+	switch s.Exporter {
+	case "stdout":
+		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
+	case "otlp":
+		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.Endpoint))
+		if err != nil {
+			return nil, fault.Wrap(fault.KindInvalidSettings, err, "traces.endpoint")
+		}
+		return e, nil
+	}
+	return nil, nil
+}
+
+// NewTracerTo returns a Tracer that records the given fraction of new traces
+// in e.
+func NewTracerTo(e sdktrace.SpanExporter, ratio float64, instance, zone string) *Tracer {
+	p := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(e),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "jacinthrampd"),
+			attribute.String("service.instance.id", instance),
+			attribute.String("cloud.availability_zone", zone),
+		)),
+	)
+	return &Tracer{provider: p, tracer: p.Tracer("jacinthramp")}
+}
+
+// Close sends what has been recorded.
+func (t *Tracer) Close(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	return t.provider.Shutdown(ctx)
+}
+
+// Server starts the span of a request that arrived with header h.
+func (t *Tracer) Server(ctx context.Context, h http.Header, name string) (context.Context, trace.Span) {
+	if t == nil {
+		return ctx, nil
+	}
+	ctx = t.propagator.Extract(ctx, propagation.HeaderCarrier(h))
+	return t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+}
+
+// Client starts the span of a request that is passed on with header h, to
+// which it adds the trace context.
+func (t *Tracer) Client(ctx context.Context, h http.Header, name string) (context.Context, trace.Span) {
+	if t == nil {
+		return ctx, nil
+	}
+	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient))
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(h))
+	return ctx, span
+}
+
+// End ends a span, which may be nil, with what became of the request.
+func End(span trace.Span, kind fault.Kind, attributes ...attribute.KeyValue) {
+	if span == nil {
+		return
+	}
+	outcome := string(kind.Answer().Outcome)
+	span.SetAttributes(append(attributes, attribute.String("outcome", outcome), attribute.String("kind", kind.String()))...)
+	span.End()
+}
+
+// ForceFlush sends the spans that have ended.
+func (t *Tracer) ForceFlush(ctx context.Context) error { return t.provider.ForceFlush(ctx) }
