Answer bad input with one kind each

An answer that ends within its header now counts as the loss of the target, not as garbage. The HTTP library's messages go to the structured log at debug.

A second answer that arrives after the next request has been sent on its connection can't be told from that request's own; HTTP/1.1 carries no ids.

--- a/cmd/jacinthrampd/serve.go
+++ b/cmd/jacinthrampd/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/jacinthramp/jacinthramp/pkg/daemon"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
@@ -18,6 +20,10 @@
 	if err != nil {
 		return err
 	}
+	// The HTTP library writes to the standard log when a target misbehaves.
+	if _, err := zap.RedirectStdLogAt(log, zap.DebugLevel); err != nil {
+		return err
+	}
 	client := platform.NewClient(s.Platform.URL, nil)
 	defer client.Close()
 	d, err := daemon.New(s, client, log)
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -28,16 +28,16 @@
 	}
 	resp, err := c.client.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		sent, read := c.wire.wrote.Load(), c.wire.read.Load()
+		e := &Error{Reason: reasonOf(ctx, r, err, c.wire), Sent: c.wire.wrote.Load(), Err: err}
 		p.drop(c)
-		return nil, &Error{Reason: reasonOf(ctx, r, err, read), Sent: sent, Err: err}
+		return nil, e
 	}
 	p.heard(c)
 	return &Answer{Response: resp, pool: p, conn: c}, nil
 }
 
 // reasonOf classifies the failure of a round trip.
-func reasonOf(ctx context.Context, r *http.Request, err error, read bool) Reason {
+func reasonOf(ctx context.Context, r *http.Request, err error, w *wireConn) Reason {
 	if b, ok := r.Body.(*attempt); ok && b.failed() {
 		return BodyFailed
 	}
@@ -46,7 +46,7 @@
 		return TimedOut
 	case ctx.Err() != nil:
 		return Canceled
-	case read && !isBroken(err):
+	case w.read.Load() && !w.ended.Load() && !isBroken(err):
 		return Garbage
 	}
 	return Lost
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -15,6 +15,8 @@
 	// waiting is set while a Read is pending, so that everything that has
 	// arrived before has been consumed.
 	waiting atomic.Bool
+	// ended is set when the other end has closed the connection or it broke.
+	ended atomic.Bool
 }
 
 // begin starts a new exchange.
@@ -41,5 +43,8 @@
 	if n > 0 {
 		c.read.Store(true)
 	}
+	if err != nil {
+		c.ended.Store(true)
+	}
 	return n, err
 }
