Let instances know each other by certificates from the settings

Cause: the instances' protocol could be protected, but no setting named the files.

Change: settings tls.certificate, tls.key and tls.authority, all or none; the daemon uses them on the peer listener and for its calls.

Results: go test -race ./pkg/daemon ./pkg/settings: ok. A run of two daemons with certificates was not made here; the identity has tests of its own in pkg/peer/instance.

Conclusion: the hop listener is still plain HTTP.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -46,6 +47,10 @@
 // New opens the listeners that s names and wires an instance to p. An address
 // that can't be listened on is fault.KindInvalidSettings.
 func New(s *settings.Settings, p Platform, log *zap.Logger) (*Daemon, error) {
+	identity, err := loadIdentity(s.TLS)
+	if err != nil {
+		return nil, err
+	}
 	tracer, err := telemetry.NewTracer(context.Background(), s.Traces, s.Instance.ID, s.Instance.Zone)
 	if err != nil {
 		return nil, err
@@ -57,6 +62,11 @@
 	}
 	log = log.With(zap.String("instance", s.Instance.ID))
 	d := &Daemon{peer: peer, peers: instance.NewClient(nil), log: log, tracer: tracer}
+	var serverTLS *tls.Config
+	if identity != nil {
+		serverTLS = identity.ServerTLS()
+		d.peers = instance.NewClient(identity.ClientTLS())
+	}
 	d.metrics = telemetry.NewMetrics(s.Instance.ID, s.Instance.Zone)
 	d.self = platform.Instance{
 		ID:            s.Instance.ID,
@@ -73,13 +83,21 @@
 		Tables: p, Objects: p, Instances: p,
 		Peers: d.peers, Log: log, Rand: rand.Float64,
 	})
-	d.serve = instance.NewServer(c.Handler(), nil)
+	d.serve = instance.NewServer(c.Handler(), serverTLS)
 	d.node = node.New(node.Config{
 		Settings: s, Self: d.self, Metrics: d.metrics, Tracer: tracer, Listeners: ls, Cluster: c, Instances: p, Log: log, Seed: rand.Uint64(),
 	})
 	return d, nil
 }
 
+// loadIdentity reads the certificates, or returns nil when none are named.
+func loadIdentity(t settings.TLS) (*instance.Identity, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	return instance.LoadIdentity(instance.Files{Certificate: t.Certificate, Key: t.Key, Authority: t.Authority})
+}
+
 // Self returns the instance's entry in the platform's list.
 func (d *Daemon) Self() platform.Instance { return d.self }
 
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -62,3 +62,11 @@
 		t.Fatalf("list after the planned stop: %+v, %v", list, err)
 	}
 }
+
+func TestUnreadableCertificateIsRefused(t *testing.T) {
+	s := settings.Default()
+	s.TLS = settings.TLS{Certificate: "none.pem", Key: "none.key", Authority: "none.ca"}
+	if _, err := New(&s, nil, zap.NewNop()); fault.KindOf(err) != fault.KindInvalidSettings {
+		t.Errorf("err = %v, want kind invalid-settings", err)
+	}
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -41,7 +41,7 @@
 
 // check returns the first refused setting, or nil.
 func check(s *Settings) *problem {
-	for _, c := range []func(*Settings) *problem{checkNames, checkAddresses, checkPlatform, checkTimes, checkLimits, checkTelemetry} {
+	for _, c := range []func(*Settings) *problem{checkNames, checkAddresses, checkPlatform, checkTLS, checkTimes, checkLimits, checkTelemetry} {
 		if p := c(s); p != nil {
 			return p
 		}
@@ -89,6 +89,19 @@
 	return nil
 }
 
+func checkTLS(s *Settings) *problem {
+	for _, f := range []struct{ key, value string }{
+		{"tls.certificate", s.TLS.Certificate},
+		{"tls.key", s.TLS.Key},
+		{"tls.authority", s.TLS.Authority},
+	} {
+		if s.TLS.Enabled() && f.value == "" {
+			return &problem{f.key, "", "the path of a PEM file; certificate, key and authority go together"}
+		}
+	}
+	return nil
+}
+
 func isURL(text string) bool {
 	u, err := url.Parse(text)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -15,6 +15,8 @@
 	Listen Listen `yaml:"listen"`
 	// Platform locates the table service, the object store and the list.
 	Platform Platform `yaml:"platform"`
+	// TLS protects the instances' own protocol. Off unless all are set.
+	TLS TLS `yaml:"tls"`
 	// Limits bounds what one instance takes in.
 	Limits Limits `yaml:"limits"`
 	// Probe sets how targets are watched.
@@ -60,6 +62,19 @@
 	PollInterval Duration `yaml:"poll_interval"`
 }
 
+// TLS names the PEM files with which instances know each other. They are read
+// again after they have changed.
+type TLS struct {
+	// Certificate and Key are this instance's own.
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	// Authority signs the certificates of all instances.
+	Authority string `yaml:"authority"`
+}
+
+// Enabled reports whether the files are named.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
 // Limits bounds what one instance takes in.
 type Limits struct {
 	// MaxHeaderBytes bounds the header of a request. Default 65536.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -45,6 +45,7 @@
 		"header bound too low":  {"platform:\n", "limits:\n  max_header_bytes: 1\nplatform:\n", "x.yaml:11: limits.max_header_bytes"},
 		"unknown level":         {"platform:\n", "log:\n  level: loud\nplatform:\n", "x.yaml:11: log.level"},
 		"otlp without endpoint": {"platform:\n", "traces:\n  exporter: otlp\nplatform:\n", "traces.endpoint"},
+		"certificate alone":     {"platform:\n", "tls:\n  certificate: a.pem\nplatform:\n", "x.yaml:11: tls.key"},
 		"not YAML":              {"instance:", "instance: [", "x.yaml:"},
 	} {
 		t.Run(name, func(t *testing.T) {
