Exchange messages without the library's connection goroutines

Cause: http.ClientConn hands each request between three goroutines, and what is left unread on an idle connection could only be guessed from a pending read.

Weighed: http.ClientConn as it was; a pool of raw connections with messages written by http.Request.Write and read by http.ReadResponse. The second keeps the library's parsing and framing and drops its scheduling.

Change: pkg/peer/upstream writes and reads in the goroutine of the request; only a body that streams has a goroutine of its own. Before its reuse an idle connection is looked at without consuming (MSG_PEEK), so that an answer nobody asked for, or its end, is seen. "Expect: 100-continue" is answered here and not passed on.

--- a/pkg/peer/upstream/dialer.go
+++ b/pkg/peer/upstream/dialer.go
@@ -1,9 +1,9 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
@@ -20,30 +20,23 @@
 	Generations conngen.Limits
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
-	// ContinueTimeout bounds the wait for "100 Continue" when the request
-	// expects it. Default 1s.
-	ContinueTimeout time.Duration
 }
 
 const (
 	defaultDialTimeout          = time.Second
 	defaultMaxAnswerHeaderBytes = 256 << 10
-	defaultContinueTimeout      = time.Second
-	// transferBufferBytes is the size of the read and write buffers of one connection.
-	transferBufferBytes = 8 << 10
+	// bufferBytes is the size of the read and write buffers of one connection.
+	bufferBytes = 8 << 10
 )
 
 // Dialer opens the connections of any number of pools.
 type Dialer struct {
-	transport *http.Transport
-	timeout   time.Duration
+	dialer    net.Dialer
+	maxHeader int64
 	limits    conngen.Limits
 	now       func() time.Time
 }
 
-// wireKey carries the place for the dialed connection through a context.
-type wireKey struct{}
-
 // NewDialer returns a Dialer with the given options.
 func NewDialer(o Options) *Dialer {
 	if o.DialTimeout <= 0 {
@@ -52,35 +45,47 @@
 	if o.MaxAnswerHeaderBytes <= 0 {
 		o.MaxAnswerHeaderBytes = defaultMaxAnswerHeaderBytes
 	}
-	if o.ContinueTimeout <= 0 {
-		o.ContinueTimeout = defaultContinueTimeout
-	}
 	if o.Generations == (conngen.Limits{}) {
 		o.Generations = conngen.DefaultLimits()
 	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	d := &net.Dialer{Timeout: o.DialTimeout}
-	t := &http.Transport{
-		DisableCompression:     true,
-		ExpectContinueTimeout:  o.ContinueTimeout,
-		MaxResponseHeaderBytes: o.MaxAnswerHeaderBytes,
-		ReadBufferSize:         transferBufferBytes,
-		WriteBufferSize:        transferBufferBytes,
-		Protocols:              new(http.Protocols),
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			w := &wireConn{Conn: c}
-			if place, ok := ctx.Value(wireKey{}).(**wireConn); ok {
-				*place = w
-			}
-			return w, nil
-		},
+	return &Dialer{
+		dialer:    net.Dialer{Timeout: o.DialTimeout},
+		maxHeader: o.MaxAnswerHeaderBytes,
+		limits:    o.Generations,
+		now:       o.Now,
 	}
-	t.Protocols.SetHTTP1(true)
-	return &Dialer{transport: t, timeout: o.DialTimeout, limits: o.Generations, now: o.Now}
 }
+
+// conn is one connection of a pool.
+type conn struct {
+	wire       *wireConn
+	br         *bufio.Reader
+	bw         *bufio.Writer
+	generation conngen.Generation
+	// answered is the time of the last complete answer.
+	answered time.Time
+	// sent is when the present request was sent.
+	sent time.Time
+	// silent is set once the present request has been noted as silent.
+	silent bool
+}
+
+// open dials address.
+func (d *Dialer) open(ctx context.Context, address string) (*conn, error) {
+	nc, err := d.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := newWireConn(nc)
+	return &conn{wire: w, br: bufio.NewReaderSize(w, bufferBytes), bw: bufio.NewWriterSize(w, bufferBytes)}, nil
+}
+
+// close closes the connection.
+func (c *conn) close() { _ = c.wire.Close() }
+
+// reusable reports whether an idle connection can take another request: it is
+// open, and everything that arrived on it has been consumed.
+func (c *conn) reusable() bool { return c.br.Buffered() == 0 && c.wire.quiet() }
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -3,45 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
-	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
 )
 
-// conn is one connection of a pool.
-type conn struct {
-	client     *http.ClientConn
-	wire       *wireConn
-	generation conngen.Generation
-	// answered is the time of the last complete answer.
-	answered time.Time
-	// sent is when the present request was sent.
-	sent time.Time
-	// silent is set once the present request has been noted as silent.
-	silent bool
-}
-
-// open dials address.
-func (d *Dialer) open(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.timeout)
-	defer cancel()
-	c := &conn{}
-	client, err := d.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &c.wire), "http", address)
-	if err != nil {
-		return nil, err
-	}
-	c.client = client
-	return c, nil
-}
-
-// reusable reports whether the connection can take another request: it is
-// open, idle, and everything that arrived on it has been consumed.
-func (c *conn) reusable() bool {
-	return c.client.Available() > 0 && c.wire.waiting.Load()
-}
-
 // Pool holds the connections to one address.
 type Pool struct {
 	address string
@@ -101,7 +67,7 @@
 
 func closeAll(cs []*conn) {
 	for _, c := range cs {
-		c.client.Close()
+		c.close()
 	}
 }
 
@@ -176,13 +142,12 @@
 	p.tracker.Answered(c.generation)
 }
 
-// put takes c back after an exchange. A connection that can't be used again
-// is closed.
-func (p *Pool) put(c *conn) {
+// put takes c back after an exchange; without reuse it is closed.
+func (p *Pool) put(c *conn, reuse bool) {
 	p.mu.Lock()
 	delete(p.busy, c)
 	c.answered = p.dialer.now()
-	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && c.client.Available() > 0
+	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && reuse
 	if keep {
 		p.idle = append(p.idle, c)
 	} else {
@@ -190,13 +155,13 @@
 	}
 	p.mu.Unlock()
 	if !keep {
-		c.client.Close()
+		c.close()
 	}
 }
 
 // drop closes c after a failure.
 func (p *Pool) drop(c *conn) {
-	c.client.Close()
+	c.close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.busy, c)
--- a/pkg/peer/upstream/pool_test.go
+++ b/pkg/peer/upstream/pool_test.go
@@ -117,22 +117,6 @@
 	return err
 }
 
-// settle waits until the idle connections wait for their next answer.
-func settle(p *Pool) {
-	for {
-		p.mu.Lock()
-		ready := true
-		for _, c := range p.idle {
-			ready = ready && c.wire.waiting.Load()
-		}
-		p.mu.Unlock()
-		if ready {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 func TestConnectionIsReusedWhileFresh(t *testing.T) {
 	s := startServer(t)
 	p, c := newTestPool(t, s, 4)
@@ -140,7 +124,6 @@
 		if err := send(t.Context(), p); err != nil {
 			t.Fatal(err)
 		}
-		settle(p)
 		c.advance(time.Second)
 	}
 	if n := s.opened.Load(); n != 1 {
@@ -154,7 +137,6 @@
 	if err := send(t.Context(), p); err != nil {
 		t.Fatal(err)
 	}
-	settle(p)
 	s.silence()
 	c.advance(10 * time.Second)
 	if err := send(t.Context(), p); err != nil {
@@ -173,7 +155,6 @@
 		wg.Go(func() { send(t.Context(), p) })
 	}
 	wg.Wait()
-	settle(p)
 	s.silence()
 	ctx, cancel := context.WithCancel(t.Context())
 	lost := make(chan error, 1)
--- a/pkg/peer/upstream/request.go
+++ b/pkg/peer/upstream/request.go
@@ -32,6 +32,9 @@
 	if acceptsTrailers(in.Header) {
 		out.Header["Te"] = []string{"trailers"}
 	}
+	// The body is sent without waiting; the caller is told to go on when its
+	// body is first read.
+	delete(out.Header, "Expect")
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = []string{""}
 	}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -6,37 +6,136 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+	"time"
 )
 
+// maxInterim bounds the interim answers to one request.
+const maxInterim = 16
+
+var (
+	errHeaderTooLarge = errors.New("the header of the answer is too large")
+	errInterim        = errors.New("too many interim answers")
+	errSwitch         = errors.New("the protocol was switched without being asked")
+)
+
+// past is a deadline that ends pending reads and writes at once.
+var past = time.Unix(1, 0)
+
 // Answer is the answer of the other end. Close must be called once.
 type Answer struct {
 	*http.Response
 
 	pool *Pool
 	conn *conn
-	once sync.Once
+	// detach ends the link between the context and the connection. It reports
+	// false when the context has ended before.
+	detach func() bool
+	// written receives the end of a body that is still being sent; nil when
+	// the whole request has been sent.
+	written <-chan error
+	whole   *wholeBody
+	once    sync.Once
 }
 
 // Send writes r on one connection, at most once, and returns the answer's
-// header. The failures are of type *Error. The body of r is read while the
-// answer may already be arriving, until Close returns.
+// header. The failures are of type *Error. A body that streams is read while
+// the answer may already be arriving, until Close returns.
 func (p *Pool) Send(ctx context.Context, r *http.Request) (*Answer, error) {
 	c, err := p.get(ctx)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.client.RoundTrip(r.WithContext(ctx))
+	detach := context.AfterFunc(ctx, func() { _ = c.wire.SetDeadline(past) })
+	written, err := c.write(r)
+	var resp *http.Response
+	if err == nil || c.wire.wrote.Load() {
+		// An answer may have come before the whole request was written.
+		if got, readErr := c.readAnswer(ctx, r, p.dialer.maxHeader); readErr == nil {
+			resp, err = got, nil
+		} else if err == nil {
+			err = readErr
+		}
+	}
 	if err != nil {
+		detach()
 		e := &Error{Reason: reasonOf(ctx, r, err, c.wire), Sent: c.wire.wrote.Load(), Err: err}
 		p.drop(c)
 		return nil, e
 	}
 	p.heard(c)
-	return &Answer{Response: resp, pool: p, conn: c}, nil
+	whole := &wholeBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
+	resp.Body = whole
+	return &Answer{Response: resp, pool: p, conn: c, detach: detach, written: written, whole: whole}, nil
+}
+
+// write sends r. A body that streams is sent by a goroutine, whose end is
+// received from written.
+func (c *conn) write(r *http.Request) (written <-chan error, err error) {
+	body, streams := r.Body.(*attempt)
+	if !streams {
+		return nil, c.writeAll(r)
+	}
+	done := make(chan error, 1)
+	go func() {
+		err := c.writeAll(r)
+		if body.failed() {
+			// No answer is to be expected to a request that lacks its end.
+			_ = c.wire.SetReadDeadline(past)
+		}
+		done <- err
+	}()
+	return done, nil
+}
+
+func (c *conn) writeAll(r *http.Request) error {
+	if err := r.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
 }
 
-// reasonOf classifies the failure of a round trip.
+// readAnswer reads up to the header of the final answer.
+func (c *conn) readAnswer(ctx context.Context, r *http.Request, maxHeader int64) (*http.Response, error) {
+	c.wire.left = maxHeader
+	defer func() { c.wire.left = -1 }()
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.br, r)
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitch
+		}
+		if t := httptrace.ContextClientTrace(ctx); t != nil && t.Got1xxResponse != nil {
+			if err := t.Got1xxResponse(resp.StatusCode, textproto.MIMEHeader(resp.Header)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nil, errInterim
+}
+
+// wholeBody notes the end of a body.
+type wholeBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read reads from the body.
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// reasonOf classifies the failure of an exchange.
 func reasonOf(ctx context.Context, r *http.Request, err error, w *wireConn) Reason {
 	if b, ok := r.Body.(*attempt); ok && b.failed() {
 		return BodyFailed
@@ -59,14 +158,27 @@
 }
 
 // Close ends the exchange: the connection is kept when the whole answer was
-// read, and closed otherwise.
+// read and the whole request sent, and closed otherwise.
 func (a *Answer) Close() {
 	a.once.Do(func() {
-		a.Body.Close()
-		a.pool.put(a.conn)
+		intact := a.detach()
+		a.pool.put(a.conn, intact && a.whole.ended && !a.Response.Close && a.sentAll())
 	})
 }
 
+// sentAll reports whether the whole request has been sent.
+func (a *Answer) sentAll() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
 // BodyError classifies a failure to read the answer's body.
 func (a *Answer) BodyError(ctx context.Context, err error) *Error {
 	switch {
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -3,20 +3,34 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
-// wireConn records what has crossed a connection.
+// wireConn records what has crossed a connection, and bounds the header of
+// an answer.
 type wireConn struct {
 	net.Conn
+	// raw looks at a TCP connection without consuming; nil for others.
+	raw syscall.RawConn
 	// wrote is set before the first byte of the present exchange is written.
 	wrote atomic.Bool
 	// read is set when the first byte of the present answer has arrived.
 	read atomic.Bool
-	// waiting is set while a Read is pending, so that everything that has
-	// arrived before has been consumed.
-	waiting atomic.Bool
 	// ended is set when the other end has closed the connection or it broke.
 	ended atomic.Bool
+	// left is how many bytes of the present header may still be read; negative
+	// means that there is no bound.
+	left int64
+}
+
+func newWireConn(c net.Conn) *wireConn {
+	w := &wireConn{Conn: c, left: -1}
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			w.raw = raw
+		}
+	}
+	return w
 }
 
 // begin starts a new exchange.
@@ -37,14 +51,36 @@
 
 // Read marks the exchange as answered when bytes arrive.
 func (c *wireConn) Read(b []byte) (int, error) {
-	c.waiting.Store(true)
+	if c.left == 0 {
+		return 0, errHeaderTooLarge
+	}
+	if c.left > 0 && int64(len(b)) > c.left {
+		b = b[:c.left]
+	}
 	n, err := c.Conn.Read(b)
-	c.waiting.Store(false)
 	if n > 0 {
 		c.read.Store(true)
 	}
+	if c.left > 0 {
+		c.left -= int64(n)
+	}
 	if err != nil {
 		c.ended.Store(true)
 	}
 	return n, err
 }
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *wireConn) quiet() bool {
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
