--- /dev/null
+++ b/pkg/node/fuzz_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// FuzzLookupQuery sends any query to the look-up.
+func FuzzLookupQuery(f *testing.F) {
+	f.Add("route=feedlog")
+	f.Add("host=x%00&path=/feedlog/../a")
+	f.Add("host=[::1]:80&path=")
+	f.Add("%zz&;")
+	m := startMember(f, "a-1", "osrednja-a")
+	m.cluster.tables.Store(oneTarget("127.0.0.1:1", "osrednja-a").WithDefaults())
+	m.takeNews()
+	h := m.callerHandler()
+	f.Cleanup(func() {
+		m.listeners.Caller.Close()
+		m.listeners.Hop.Close()
+		m.listeners.Admin.Close()
+		m.closeClients()
+	})
+	f.Fuzz(func(t *testing.T, query string) {
+		w := httptest.NewRecorder()
+		r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: wire.PathLookup, RawQuery: query}, Header: http.Header{}}
+		h.ServeHTTP(w, r)
+		if w.Code != http.StatusOK && w.Header().Get(wire.HeaderKind) != fault.KindUnknownRoute.String() {
+			t.Errorf("status %d, header %v", w.Code, w.Header())
+		}
+	})
+}
+
+// FuzzFields reads any value of the system's own fields.
+func FuzzFields(f *testing.F) {
+	f.Add("1000", "true", "member", "route", "1")
+	f.Add("-1", "TRUE", "", "", "18446744073709551616")
+	f.Fuzz(func(t *testing.T, deadline, mark, member, route, version string) {
+		h := http.Header{}
+		h.Set(wire.HeaderDeadlineMS, deadline)
+		h.Set(wire.HeaderIdempotent, mark)
+		h.Set(wire.HeaderMember, member)
+		h.Set(wire.HeaderHopRoute, route)
+		h.Set(wire.HeaderHopPool, route)
+		h.Set(wire.HeaderHopVersion, version)
+		fields, err := caller.ReadFields(h)
+		if err == nil && fields.Deadline < 0 {
+			t.Errorf("deadline %v", fields.Deadline)
+		}
+		if err != nil && fault.KindOf(err) != fault.KindBadRequest {
+			t.Errorf("err = %v", err)
+		}
+		if _, err := hop.ReadChoice(&http.Request{Header: h}); err != nil && fault.KindOf(err) != fault.KindBadRequest {
+			t.Errorf("err = %v", err)
+		}
+	})
+}
