Give a resubmission a new id after "not run"

Weighed: the same id for every resubmission, or a new one after "not run". "Not run" is a promise, so nothing can have run under the old id, and the next instance can decide by itself; were the promise broken, the run would be counted as repeated. After a broken connection or "unknown" the id stays. Paths of load get a segment of their own: requests that are alike in all but their nonce count as one to the check for requests that crash targets, and one of 240 was held back after the crashes of others.

Change: as weighed.

--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -87,9 +87,10 @@
 	Status int
 }
 
-// Do sends r and submits it again while that is safe and may help: after
-// "not run" at the time to come back, and after a broken connection or
-// "unknown" because the id keeps a request from running twice.
+// Do sends r and submits it again while that is safe and may help: after a
+// broken connection or "unknown" under the same id, which keeps the request
+// from running twice; after "not run" at the time to come back under a new
+// id, which the next instance can decide on by itself.
 func (c *Caller) Do(ctx context.Context, r Request) Result {
 	s := submission{caller: c, request: r, tried: map[string]bool{}, end: time.Now().Add(r.Deadline)}
 	ctx, cancel := context.WithDeadline(ctx, s.end.Add(answerGrace))
@@ -109,9 +110,11 @@
 	caller  *Caller
 	request Request
 	id      string
-	tried   map[string]bool
-	end     time.Time
-	result  Result
+	// uncertain is set once a submission may have run; the id is kept then.
+	uncertain bool
+	tried     map[string]bool
+	end       time.Time
+	result    Result
 }
 
 // submit sends the request once. It reports whether to send it again, and
@@ -183,6 +186,7 @@
 		return s.backoff(), true
 	}
 	s.result.Outcome = fault.Unknown
+	s.uncertain = true
 	if ctx.Err() != nil {
 		s.result.Unanswered++
 		return 0, false
@@ -205,6 +209,10 @@
 	case fault.NotRun, fault.Unknown:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 		s.result.Outcome = outcome
+		s.uncertain = s.uncertain || outcome == fault.Unknown
+		if !s.uncertain {
+			s.id = ""
+		}
 		if s.result.Kind == fault.KindLeaving.String() {
 			s.tried[in.ID] = true
 			s.caller.lookups.expire(s.request.Route)
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -70,9 +71,10 @@
 func (m *mix) next() Request {
 	k := m.settings.Mix[m.index(m.kinds, len(m.settings.Mix), func(i int) int { return m.settings.Mix[i].Weight })]
 	member := m.settings.Members[m.index(m.members, len(m.settings.Members), func(i int) int { return m.settings.Members[i].Weight })]
+	nonce := uuid.NewString()
 	return Request{
 		Sent: exchange.Sent{
-			Nonce: uuid.NewString(), Method: k.Method, Path: k.Path,
+			Nonce: nonce, Method: k.Method, Path: strings.TrimSuffix(k.Path, "/") + "/" + nonce,
 			BodyBytes: k.BodyBytes, AnswerBytes: k.AnswerBytes, Once: k.Once,
 		},
 		Route: k.Route, Host: k.Host, Member: member.Name, Deadline: k.Deadline.Std(),
--- a/pkg/load/settings.go
+++ b/pkg/load/settings.go
@@ -48,7 +48,8 @@
 	Weight int `yaml:"weight"`
 	// Host is the request's host. Default the instance's address.
 	Host string `yaml:"host"`
-	// Path is the request's path. Default "/".
+	// Path is the start of the request's path; each request adds a segment of
+	// its own. Default "/".
 	Path string `yaml:"path"`
 	// Method is the request's method. Default GET.
 	Method string `yaml:"method"`
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -12,6 +12,7 @@
 func TestFourWorkloadsAreServed(t *testing.T) {
 	s := newSystem(t)
 	s.serves("load")
+	s.withinSlots()
 }
 
 func TestPlannedStopsCutOffNothing(t *testing.T) {
@@ -28,6 +29,7 @@
 		t.Errorf("planned stops were noticed: %+v", rep)
 	}
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestKilledProcessesBreakNoPromise(t *testing.T) {
@@ -45,6 +47,7 @@
 	s.startTargets(1)
 	s.reportAfter(p)
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestFrozenProcessesBreakNoPromise(t *testing.T) {
@@ -60,6 +63,7 @@
 	s.targets[0].proc.signal(syscall.SIGCONT)
 	s.reportAfter(p)
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestInstanceAndTargetOfAZoneKilledAtOnce(t *testing.T) {
@@ -73,6 +77,7 @@
 	s.startTargets(3)
 	s.reportAfter(p)
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestZoneCutOffFromThePlatformServes(t *testing.T) {
@@ -88,6 +93,7 @@
 		eventually(t, "the drain is in force on "+in.name, func() bool { return s.version(in) == 2 })
 	}
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestSilentConnectionsAndCrashingTargets(t *testing.T) {
@@ -106,6 +112,7 @@
 	time.Sleep(hold)
 	s.reportAfter(p)
 	s.serves("after")
+	s.withinSlots()
 }
 
 func TestLostAnswersOfTheStoreMakeOneEditEach(t *testing.T) {
@@ -121,4 +128,5 @@
 		}
 	}
 	s.serves("after")
+	s.withinSlots()
 }
