--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -89,8 +89,8 @@
 
 // Do sends r and submits it again while that is safe and may help: after a
 // broken connection or "unknown" under the same id, which keeps the request
-// from running twice; after "not run" at the time to come back under a new
-// id, which the next instance can decide on by itself.
+// from running twice; after "not run" at the time to come back, under a new
+// id when another instance gets it.
 func (c *Caller) Do(ctx context.Context, r Request) Result {
 	s := submission{caller: c, request: r, tried: map[string]bool{}, end: time.Now().Add(r.Deadline)}
 	ctx, cancel := context.WithDeadline(ctx, s.end.Add(answerGrace))
@@ -110,11 +110,17 @@
 	caller  *Caller
 	request Request
 	id      string
-	// uncertain is set once a submission may have run; the id is kept then.
-	uncertain bool
-	tried     map[string]bool
-	end       time.Time
-	result    Result
+	tried   map[string]bool
+	end     time.Time
+	result  Result
+	// unsettled is set once a submission under id got no answer, so that it
+	// may still arrive and the id must be kept.
+	unsettled bool
+	// renewable is set while the request has certainly not run under id, so
+	// that another instance may get it under an id of its own.
+	renewable bool
+	// home is the instance that id names.
+	home string
 }
 
 // submit sends the request once. It reports whether to send it again, and
@@ -126,8 +132,10 @@
 		return s.backoff(), true
 	}
 	in := choose(answer, s.tried)
-	fresh := s.id == ""
+	fresh := s.id == "" || (s.renewable && in.ID != s.home)
+	s.renewable = false
 	if fresh {
+		s.home = in.ID
 		s.id = in.IDPrefix + uuid.NewString()
 	}
 	resp, sent, err := s.send(ctx, in.Address)
@@ -186,7 +194,7 @@
 		return s.backoff(), true
 	}
 	s.result.Outcome = fault.Unknown
-	s.uncertain = true
+	s.unsettled = true
 	if ctx.Err() != nil {
 		s.result.Unanswered++
 		return 0, false
@@ -209,10 +217,7 @@
 	case fault.NotRun, fault.Unknown:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 		s.result.Outcome = outcome
-		s.uncertain = s.uncertain || outcome == fault.Unknown
-		if !s.uncertain {
-			s.id = ""
-		}
+		s.renewable = outcome == fault.NotRun && !s.unsettled
 		if s.result.Kind == fault.KindLeaving.String() {
 			s.tried[in.ID] = true
 			s.caller.lookups.expire(s.request.Route)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -33,6 +33,9 @@
 	Self      platform.Instance
 	Listeners Listeners
 	Cluster   Cluster
+	// Instances is read for the home of a repeat that the cluster does not
+	// know yet. Nil switches that off.
+	Instances platform.Instances
 	Log       *zap.Logger
 	// Seed starts the random choices.
 	Seed uint64
@@ -49,6 +52,9 @@
 	dialer    *upstream.Dialer
 	waiters   *waiters
 	repeats   *repeats
+	finder    *finder
+	latencies *latencies
+	drains    *drains
 	view      atomic.Pointer[view]
 	stage     atomic.Int32
 	inFlight  atomic.Int64
@@ -75,10 +81,13 @@
 		repeats:   newRepeats(c.Self.ID, c.Self.Incarnation, time.Now()),
 		now:       time.Now,
 	}
+	n.finder = newFinder(c.Instances, n.dialer)
+	n.drains = newDrains(n.recordDrain)
 	if a, ok := c.Cluster.(Attacher); ok {
 		a.Attach(n.core)
 		n.attached = true
 	}
+	n.latencies = newLatencies(n.now)
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -96,6 +105,8 @@
 	wg.Go(func() { n.runCluster(background) })
 	wg.Go(func() { n.follow(background) })
 	wg.Go(func() { n.tick(background) })
+	wg.Go(func() { n.probe(background) })
+	wg.Go(func() { n.sweep(background) })
 	err := n.serve(ctx)
 	stop()
 	wg.Wait()
@@ -155,8 +166,14 @@
 	}
 }
 
+// recordDrain reports that a leaving target is empty.
+func (n *Node) recordDrain(name string, took time.Duration) {
+	n.log.Info("target drained", zap.String("target", name), zap.Duration("took", took))
+}
+
 // closeClients closes every idle connection.
 func (n *Node) closeClients() {
 	v := n.view.Load()
 	closeGone(v, &view{})
+	n.finder.close()
 }
