--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -25,7 +25,9 @@
 	mu      sync.Mutex
 	lookups int
 	ids     []string
-	serve   http.HandlerFunc
+	// two makes the look-up name the system under two instances.
+	two   bool
+	serve http.HandlerFunc
 }
 
 func newSystem(t *testing.T, serve http.HandlerFunc) *system {
@@ -50,9 +52,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lookups++
+	instances := []wire.LookupInstance{{ID: "i-1", Address: s.address(), Weight: 1, IDPrefix: "i-1.x."}}
+	if s.two {
+		instances = append(instances, wire.LookupInstance{ID: "i-2", Address: s.address(), Weight: 1, Order: 1, IDPrefix: "i-2.x."})
+	}
 	standin.WriteJSON(w, http.StatusOK, wire.LookupAnswer{
-		Route: r.URL.Query().Get("route"), TTLMS: 60_000,
-		Instances: []wire.LookupInstance{{ID: "i-1", Address: s.address(), Weight: 1, IDPrefix: "i-1.x."}},
+		Route: r.URL.Query().Get("route"), TTLMS: 60_000, Instances: instances,
 	})
 }
 
@@ -136,6 +141,69 @@
 	}
 }
 
+// TestAnotherInstanceGetsANewIDOnlyAfterNotRun sends a request to a first
+// instance that leaves after each kind of failure, and then to a second one.
+func TestAnotherInstanceGetsANewIDOnlyAfterNotRun(t *testing.T) {
+	abort := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+	kind := func(k fault.Kind) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) { refuse(w, k) }
+	}
+	cases := []struct {
+		name    string
+		answers []func(http.ResponseWriter)
+		keeps   bool
+	}{
+		{"not run", []func(http.ResponseWriter){kind(fault.KindLeaving)}, false},
+		{"broken", []func(http.ResponseWriter){abort}, true},
+		{"broken, then not run", []func(http.ResponseWriter){abort, kind(fault.KindLeaving), kind(fault.KindLeaving)}, true},
+	}
+	for _, tc := range cases {
+		var n int
+		s := newSystem(t, nil)
+		s.two = true
+		s.serve = func(w http.ResponseWriter, r *http.Request) {
+			if n++; n <= len(tc.answers) {
+				tc.answers[n-1](w)
+				return
+			}
+			right(w, r)
+		}
+		if res := s.do(t, true); res.Outcome != fault.Completed {
+			t.Errorf("%s: %+v", tc.name, res)
+		}
+		if kept := s.ids[0] == s.ids[len(s.ids)-1]; kept != tc.keeps {
+			t.Errorf("%s: ids %v", tc.name, s.ids)
+		}
+	}
+}
+
+func TestIDOfAnEarlierIncarnationIsReplacedOnItsFirstUseOnly(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		var n int
+		s := newSystem(t, nil)
+		s.serve = func(w http.ResponseWriter, r *http.Request) {
+			n++
+			switch {
+			case n == 1 && broken:
+				panic(http.ErrAbortHandler)
+			case n <= 2:
+				refuse(w, fault.KindHomeGone)
+			default:
+				right(w, r)
+			}
+		}
+		if res := s.do(t, true); res.Outcome != fault.Completed || res.Submissions != 3 {
+			t.Errorf("broken %v: %+v", broken, res)
+		}
+		if kept := s.ids[0] == s.ids[1] && s.ids[1] == s.ids[2]; kept != broken {
+			t.Errorf("broken %v: ids %v", broken, s.ids)
+		}
+		if s.lookups < 2 {
+			t.Errorf("broken %v: the look-up answer was kept", broken)
+		}
+	}
+}
+
 func TestBrokenConnectionIsCountedAndSubmittedAgain(t *testing.T) {
 	var n int
 	s := newSystem(t, nil)
