Carry uptime and shares in the zones' summaries, and tell unknown as unknown

Cause: summaries of a zone were added up field by field in two places, so the new fields were lost between instances; an instance took the same summary for a new one when its time differed by a rounding; a refusal after an attempt with unknown outcome went to the caller as not run. Change: ZoneSummary.Add, used by pkg/cluster and the model; pkg/cluster hands the own zone's summaries to the Core; pkg/node asks Request.Answer.

--- a/pkg/cluster/zones.go
+++ b/pkg/cluster/zones.go
@@ -73,20 +73,14 @@
 	return out
 }
 
-// addSummary adds s to its pool's sum. The latency is the mean weighted by slots.
+// addSummary adds s to its pool's sum.
 func addSummary(byPool map[string]*instance.Summary, zone string, s instance.Summary) {
-	sum := byPool[s.Pool]
-	if sum == nil {
-		sum = &instance.Summary{ZoneSummary: steer.ZoneSummary{Zone: zone, Pool: s.Pool, LatencyEstimate: s.LatencyEstimate}}
-		byPool[s.Pool] = sum
-	}
-	if all := sum.Slots + s.Slots; all > 0 {
-		weighted := sum.LatencyEstimate*time.Duration(sum.Slots) + s.LatencyEstimate*time.Duration(s.Slots)
-		sum.LatencyEstimate = weighted / time.Duration(all)
+	if sum := byPool[s.Pool]; sum != nil {
+		sum.Add(s.ZoneSummary)
+		return
 	}
-	sum.Free += s.Free
-	sum.Slots += s.Slots
-	sum.Queued += s.Queued
+	s.Zone = zone
+	byPool[s.Pool] = &s
 }
 
 // others returns the reports of other zones with their ages.
@@ -106,9 +100,14 @@
 	return out
 }
 
-// summaries returns the headroom of other zones.
+// summaries returns the headroom of this zone, as far as it is known here, and
+// of the others.
 func (b *zoneBook) summaries(now time.Time) []steer.ZoneSummary {
 	var out []steer.ZoneSummary
+	for _, s := range b.total(now) {
+		s.At = now
+		out = append(out, s.ZoneSummary)
+	}
 	for _, r := range b.others(now) {
 		for _, s := range r.Summaries {
 			s.At = now.Add(-time.Duration(r.AgeMS+s.AgeMS) * time.Millisecond)
--- a/pkg/decision/steer/observe.go
+++ b/pkg/decision/steer/observe.go
@@ -13,7 +13,8 @@
 	}
 }
 
-// ObserveZone takes in another zone's summary. A time after now counts as now.
+// ObserveZone takes in another zone's summary, or that of the other instances
+// of this zone together. A time after now counts as now.
 func (c *Core) ObserveZone(now time.Time, sum ZoneSummary) {
 	p, ok := c.state.Load().pools[sum.Pool]
 	if !ok {
@@ -43,7 +44,7 @@
 		sum := ZoneSummary{
 			Zone: c.self.Zone, Pool: p.name, At: now,
 			Queued: int(p.queued.Load()), LatencyEstimate: p.service.Value(priorService),
-			Uptime: time.Duration(ns), Share: st.lowestShare(p),
+			Uptime: time.Duration(ns), Share: st.lowestShare(p, ns),
 		}
 		if now.Before(st.expires) {
 			usable, inFlight := p.localSlots(ns)
@@ -57,9 +58,13 @@
 }
 
 // lowestShare returns the smallest share of a route's arrivals that the pool
-// got from this instance within the last window.
-func (st *state) lowestShare(p *pool) float64 {
+// got from this instance within the last window. An instance that has not
+// served for a window has nothing to tell, which is a share of 1.
+func (st *state) lowestShare(p *pool, now int64) float64 {
 	share := 1.0
+	if _, window := p.capOf(); now <= window.Nanoseconds() {
+		return share
+	}
 	for _, rt := range st.routes {
 		for _, pk := range rt.plan.Load().picks {
 			if pk.pool == p {
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -168,15 +168,26 @@
 	Queued int
 	// LatencyEstimate is the mean service time of the pool in the zone.
 	LatencyEstimate time.Duration
-	// Uptime is how long the instances of the zone have served. A summary of
-	// an instance's own zone only tells it that its peers are warm.
+	// Uptime is how long the instances of the zone have served.
 	Uptime time.Duration
 	// Share is the smallest share of its arrivals that an instance of the zone
-	// gave to this pool within the last shift window. Of several instances of
-	// a zone the smallest counts, and the longest Uptime.
+	// gave to this pool within the last shift window.
 	Share float64
 }
 
+// Add takes the summary of another instance of the same zone and pool into z.
+func (z *ZoneSummary) Add(o ZoneSummary) {
+	if all := z.Slots + o.Slots; all > 0 {
+		weighted := z.LatencyEstimate*time.Duration(z.Slots) + o.LatencyEstimate*time.Duration(o.Slots)
+		z.LatencyEstimate = weighted / time.Duration(all)
+	}
+	z.Free += o.Free
+	z.Slots += o.Slots
+	z.Queued += o.Queued
+	z.Uptime = max(z.Uptime, o.Uptime)
+	z.Share = min(z.Share, o.Share)
+}
+
 // MayHaveRun reports whether an attempt of the request had an unknown outcome.
 func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
 
--- a/pkg/decision/steer/zone.go
+++ b/pkg/decision/steer/zone.go
@@ -22,6 +22,9 @@
 	unknownPart = 0.25
 	// zonePause keeps hops from a zone that has just refused one.
 	zonePause = 200 * time.Millisecond
+	// sameSummary is how far the times of two summaries may be apart at which
+	// they are taken to be one that came by two ways.
+	sameSummary = 20 * time.Millisecond
 	// A zone is silent when its summary is late by so many intervals and so
 	// much for the delays on the way.
 	silentIntervals = 2
@@ -56,9 +59,10 @@
 	return &zoneStats{name: name, sameRegion: sameRegion}
 }
 
-// observe takes in the zone's summary; an older one than the last is ignored.
+// observe takes in the zone's summary. An older one than the last is ignored,
+// and so is the same one again, whose time may differ a little.
 func (z *zoneStats) observe(at int64, sum ZoneSummary) {
-	if z.summary.Load() != nil && at <= z.summaryAt.Load() {
+	if z.summary.Load() != nil && at <= z.summaryAt.Load()+sameSummary.Nanoseconds() {
 		return
 	}
 	if last := z.summaryAt.Load(); last > 0 {
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -52,7 +52,7 @@
 	for {
 		d := x.decide()
 		if d.Verdict == steer.Refuse {
-			x.refuse(caller.Refusal{Kind: d.Kind, RetryAfter: d.RetryAfter})
+			x.refuse(caller.Refusal{Kind: x.req.Answer(d.Kind), RetryAfter: d.RetryAfter})
 			return
 		}
 		err := x.attempt(d)
@@ -60,7 +60,9 @@
 			return
 		}
 		if !x.mayRetry(err) {
-			x.refuse(caller.RefusalOf(err))
+			f := caller.RefusalOf(err)
+			f.Kind = x.req.Answer(f.Kind)
+			x.refuse(f)
 			return
 		}
 	}
--- a/test/bench/policy_test.go
+++ b/test/bench/policy_test.go
@@ -78,7 +78,6 @@
 	borrowEvery  = 20 * time.Millisecond
 	summaryEvery = 200 * time.Millisecond
 	reportEvery  = 1 * time.Second
-	shiftWindow  = 10 * time.Second
 )
 
 func (p steering) start(w *world) {
@@ -128,19 +127,12 @@
 		}
 		for _, s := range n.core.Summaries(w.time()) {
 			k := key{s.Zone, s.Pool}
-			if s.Uptime <= shiftWindow {
-				s.Share = 1
-			}
 			if sums[k] == nil {
 				sums[k] = &s
 				order = append(order, k)
 				continue
 			}
-			sums[k].Free += s.Free
-			sums[k].Slots += s.Slots
-			sums[k].Queued += s.Queued
-			sums[k].Share = min(sums[k].Share, s.Share)
-			sums[k].Uptime = max(sums[k].Uptime, s.Uptime)
+			sums[k].Add(s)
 		}
 	}
 	for _, k := range order {
