--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -87,9 +87,10 @@
 	Status int
 }
 
-// Do sends r and submits it again while that is safe and may help: after
-// "not run" at the time to come back, and after a broken connection or
-// "unknown" because the id keeps a request from running twice.
+// Do sends r and submits it again while that is safe and may help: after a
+// broken connection or "unknown" under the same id, which keeps the request
+// from running twice; after "not run" at the time to come back, under a new
+// id when another instance gets it.
 func (c *Caller) Do(ctx context.Context, r Request) Result {
 	s := submission{caller: c, request: r, tried: map[string]bool{}, end: time.Now().Add(r.Deadline)}
 	ctx, cancel := context.WithDeadline(ctx, s.end.Add(answerGrace))
@@ -112,6 +113,16 @@
 	tried   map[string]bool
 	end     time.Time
 	result  Result
+	// unsettled is set once a submission under id got no answer, so that it
+	// may still arrive and the id must be kept.
+	unsettled bool
+	// renewable is set while the request has certainly not run under id, so
+	// that another instance may get it under an id of its own.
+	renewable bool
+	// home is the instance that id names.
+	home string
+	// underID counts the submissions under id.
+	underID int
 }
 
 // submit sends the request once. It reports whether to send it again, and
@@ -123,10 +134,13 @@
 		return s.backoff(), true
 	}
 	in := choose(answer, s.tried)
-	fresh := s.id == ""
+	fresh := s.id == "" || (s.renewable && in.ID != s.home)
+	s.renewable = false
 	if fresh {
+		s.home, s.underID = in.ID, 0
 		s.id = in.IDPrefix + uuid.NewString()
 	}
+	s.underID++
 	resp, sent, err := s.send(ctx, in.Address)
 	if err != nil {
 		s.tried[in.ID] = true
@@ -183,6 +197,7 @@
 		return s.backoff(), true
 	}
 	s.result.Outcome = fault.Unknown
+	s.unsettled = true
 	if ctx.Err() != nil {
 		s.result.Unanswered++
 		return 0, false
@@ -205,10 +220,8 @@
 	case fault.NotRun, fault.Unknown:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 		s.result.Outcome = outcome
-		if s.result.Kind == fault.KindLeaving.String() {
-			s.tried[in.ID] = true
-			s.caller.lookups.expire(s.request.Route)
-		}
+		s.renewable = outcome == fault.NotRun && !s.unsettled
+		s.react(in)
 		return retryAfter(resp), true
 	default:
 		s.result.Wrong = &exchange.WrongAnswerError{Reason: "no outcome, status " + strconv.Itoa(resp.StatusCode)}
@@ -217,6 +230,23 @@
 	}
 }
 
+// react follows from the kind of an answer that the system made itself.
+func (s *submission) react(in wire.LookupInstance) {
+	switch s.result.Kind {
+	case fault.KindLeaving.String():
+		s.tried[in.ID] = true
+		s.caller.lookups.expire(s.request.Route)
+	case fault.KindHomeGone.String():
+		s.caller.lookups.expire(s.request.Route)
+		if s.underID == 1 {
+			// The look-up answer is older than the instance's last start: the id
+			// names its last incarnation, which never got the request.
+			s.id = ""
+			s.result.Outcome = fault.NotRun
+		}
+	}
+}
+
 // completed checks a target's answer.
 func (s *submission) completed(ctx context.Context, resp *http.Response) (time.Duration, bool) {
 	if resp.StatusCode != http.StatusOK {
--- a/pkg/node/admin.go
+++ b/pkg/node/admin.go
@@ -10,11 +10,15 @@
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
-// adminHandler serves status and readiness.
+// adminHandler serves status, explanations, readiness and metrics.
 func (n *Node) adminHandler() http.Handler {
 	r := httprouter.New()
 	r.GET(wire.PathStatus, n.serveStatus)
+	r.GET(wire.PathExplain, n.serveExplain)
 	r.GET(wire.PathReady, n.serveReady)
+	if n.metrics != nil {
+		r.Handler(http.MethodGet, wire.PathMetrics, n.metrics.Handler())
+	}
 	return r
 }
 
@@ -34,7 +38,7 @@
 		Rejected:    n.cluster.Rejected(),
 		Leaving:     n.leaving(),
 		InFlight:    int(n.inFlight.Load()),
-		Pools:       []wire.PoolStatus{},
+		Pools:       n.poolStatuses(),
 	}
 }
 
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -31,6 +31,9 @@
 	atHome bool
 	// record is set when the outcome must be kept in result.
 	record bool
+	// kind is how the request has ended, and last its last attempt.
+	kind fault.Kind
+	last steer.Decision
 	// proven is set when the request has no id that is honoured, or the
 	// registry has said that this is its first submission.
 	proven bool
@@ -76,6 +79,10 @@
 		return false
 	}
 	x.body = body
+	if body.Streams() {
+		// Lets the answer begin before the body has ended.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
 	x.req.BodyBytes = body.Length()
 	x.req.Fingerprint = fingerprint(x.in, body)
 	return true
@@ -95,6 +102,7 @@
 	if d.Verdict != steer.Wait {
 		return d
 	}
+	x.node.signalQueued()
 	place := x.node.waiters.place(d.Ticket)
 	defer x.node.waiters.forget(d.Ticket)
 	select {
@@ -127,34 +135,47 @@
 // attempt carries out d. Without an error the answer has been given.
 func (x *exchange) attempt(d steer.Decision) error {
 	x.req.Attempts++
+	x.last = d
 	start := x.node.now()
 	var res steer.Result
 	var err error
 	defer func() {
+		x.node.latencies.observe(d, res)
 		x.node.waiters.deliver(x.node.core.Done(x.node.now(), d, res))
 	}()
 	if d.Verdict == steer.Hop {
 		x.req.Exclude(d.Zone)
-		err = x.hop(d, start, &res)
+		err = x.traced(d, func() error { return x.hop(d, start, &res) })
 	} else {
 		x.req.Exclude(d.Target)
-		err = x.dispatch(d, start, &res)
+		err = x.traced(d, func() error { return x.dispatch(d, start, &res) })
 	}
 	if err != nil {
 		res.Kind = fault.KindOf(err)
 	}
+	x.kind = res.Kind
 	return err
 }
 
 // latencySince is the time to the first byte of the answer.
 func (x *exchange) latencySince(start time.Time) time.Duration { return x.node.now().Sub(start) }
 
+// closeUnread ends the caller's connection after the answer when the body of
+// its request has not been read to its end.
+func (x *exchange) closeUnread() {
+	if x.body != nil && x.body.Streams() && !x.body.Ended() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // refuse answers in the system's own name.
 func (x *exchange) refuse(f caller.Refusal) {
 	x.relay.Seal()
 	if !x.proven {
 		f = x.node.honest(f, x.in)
 	}
+	x.kind = f.Kind
 	x.result = outcome.Result{Kind: f.Kind}
+	x.closeUnread()
 	f.Write(x.w)
 }
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
@@ -127,7 +128,10 @@
 		},
 	}
 	x.guardCaller()
+	var span trace.Span
+	x.ctx, span = n.tracer.Server(x.ctx, r.Header, "request "+route.Name)
 	x.serve(fields.ID)
+	x.account(span)
 	if x.broken {
 		panic(http.ErrAbortHandler)
 	}
@@ -158,6 +162,7 @@
 	if x.req.Pool != "" {
 		kind = fault.KindHopRefused
 	}
+	x.w.Header().Set("Connection", "close")
 	x.refuse(caller.Refusal{Kind: kind, Message: "the instance is leaving"})
 }
 
@@ -171,12 +176,10 @@
 	return caller.Refusal{Kind: fault.KindHomeGone, Message: f.Kind.String() + ": " + f.Message}
 }
 
-// guardCaller bounds reading from and writing to the caller by the deadline,
-// and lets an answer begin before the request's body has ended.
+// guardCaller bounds reading from and writing to the caller by the deadline.
 func (x *exchange) guardCaller() {
 	rc := http.NewResponseController(x.w)
-	// A connection without deadlines or full duplex is served without them.
-	_ = rc.EnableFullDuplex()
+	// A connection that knows no deadlines is served without them.
 	_ = rc.SetReadDeadline(x.req.Deadline.Add(callerGrace))
 	_ = rc.SetWriteDeadline(x.req.Deadline.Add(callerGrace))
 }
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // Answer is the answer of the other end. Close must be called once.
@@ -27,18 +26,18 @@
 	if err != nil {
 		return nil, err
 	}
-	c.wire.begin()
 	resp, err := c.client.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		sent, read := c.wire.wrote.Load(), c.wire.read.Load()
+		e := &Error{Reason: reasonOf(ctx, r, err, c.wire), Sent: c.wire.wrote.Load(), Err: err}
 		p.drop(c)
-		return nil, &Error{Reason: reasonOf(ctx, r, err, read), Sent: sent, Err: err}
+		return nil, e
 	}
+	p.heard(c)
 	return &Answer{Response: resp, pool: p, conn: c}, nil
 }
 
 // reasonOf classifies the failure of a round trip.
-func reasonOf(ctx context.Context, r *http.Request, err error, read bool) Reason {
+func reasonOf(ctx context.Context, r *http.Request, err error, w *wireConn) Reason {
 	if b, ok := r.Body.(*attempt); ok && b.failed() {
 		return BodyFailed
 	}
@@ -47,7 +46,7 @@
 		return TimedOut
 	case ctx.Err() != nil:
 		return Canceled
-	case read && !isBroken(err):
+	case w.read.Load() && !w.ended.Load() && !isBroken(err):
 		return Garbage
 	}
 	return Lost
@@ -64,7 +63,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		a.Body.Close()
-		a.pool.put(a.conn, time.Now())
+		a.pool.put(a.conn)
 	})
 }
 
