Compare the lease at the sending, and doubt idle connections sooner for orders

Cause: an instance that is paused between its decision and the write sent the request although its lease had lapsed meanwhile. And a non-idempotent request could go on a connection that had been silent for up to 2 s.

Weighed: a probe before each such request (6 ms) against a new connection (1 ms): the latter, when the last answer is older than 100 ms.

Change: a decision carries the end of the lease (steer.Decision.NotAfter, a small addition to that package), and the pool compares it once more when the connection is ready; a request that comes too late ends as share-lapsed, not run, and may be decided again. Terms.Once asks for a connection that answered within 100 ms; the older ones stay for other requests.

What is in flight when a silence begins stays unknown.

--- a/pkg/decision/conngen/conngen.go
+++ b/pkg/decision/conngen/conngen.go
@@ -21,11 +21,14 @@
 	// FreshFor is how long after its last answer an idle connection is used
 	// without doubt. Later it is replaced by a new one.
 	FreshFor time.Duration
+	// FreshForOnce is the same for requests that must not run twice: the
+	// outcome of one that is sent into a silence stays unknown.
+	FreshForOnce time.Duration
 }
 
 // DefaultLimits returns the limits of an instance.
 func DefaultLimits() Limits {
-	return Limits{SilentAfter: 500 * time.Millisecond, FreshFor: 2 * time.Second}
+	return Limits{SilentAfter: 500 * time.Millisecond, FreshFor: 2 * time.Second, FreshForOnce: 100 * time.Millisecond}
 }
 
 // Tracker follows the generations of one address. The zero value is not
@@ -114,8 +117,12 @@
 func (t *Tracker) Retired(g Generation) bool { return g <= t.retired }
 
 // Usable reports whether an idle connection of generation g, whose last
-// answer came idle time ago, may carry another request.
-func (t *Tracker) Usable(g Generation, idle time.Duration) bool {
+// answer came idle time ago, may carry another request. once says that the
+// request must not run twice.
+func (t *Tracker) Usable(g Generation, idle time.Duration, once bool) bool {
+	if once && idle >= t.limits.FreshForOnce {
+		return false
+	}
 	if g <= t.retired || idle >= t.limits.FreshFor {
 		return false
 	}
--- a/pkg/decision/conngen/conngen_test.go
+++ b/pkg/decision/conngen/conngen_test.go
@@ -24,7 +24,7 @@
 	Resumed(Generation)
 	Answered(Generation)
 	Retired(Generation) bool
-	Usable(Generation, time.Duration) bool
+	Usable(Generation, time.Duration, bool) bool
 }
 
 // link is a connection of the model.
@@ -68,7 +68,7 @@
 				}
 			}
 		}
-		if silences == 0 && (tr.Retired(l.generation) || !tr.Usable(l.generation, 0)) {
+		if silences == 0 && (tr.Retired(l.generation) || !tr.Usable(l.generation, 0, false)) {
 			return fmt.Errorf("generation %d is doubted without a silence", l.generation)
 		}
 	}
@@ -78,7 +78,7 @@
 // afterAnswer checks the connections older than the one that has answered.
 func afterAnswer(tr tracker, links []*link, answered *link) error {
 	for _, l := range links {
-		if l.silent && l.generation < answered.generation && (!tr.Retired(l.generation) || tr.Usable(l.generation, 0)) {
+		if l.silent && l.generation < answered.generation && (!tr.Retired(l.generation) || tr.Usable(l.generation, 0, false)) {
 			return fmt.Errorf("generation %d is silent, %d answers, and the former is not retired", l.generation, answered.generation)
 		}
 	}
@@ -126,9 +126,12 @@
 	l := DefaultLimits()
 	tr := New(l)
 	g := tr.Open()
-	if !tr.Usable(g, l.FreshFor-1) || tr.Usable(g, l.FreshFor) {
+	if !tr.Usable(g, l.FreshFor-1, false) || tr.Usable(g, l.FreshFor, false) {
 		t.Error("freshness is not bounded by FreshFor")
 	}
+	if !tr.Usable(g, l.FreshForOnce-1, true) || tr.Usable(g, l.FreshForOnce, true) {
+		t.Error("freshness is not bounded by FreshForOnce for a request that must not run twice")
+	}
 	if tr.IsSilent(l.SilentAfter-1) || !tr.IsSilent(l.SilentAfter) {
 		t.Error("silence does not begin at SilentAfter")
 	}
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -247,7 +247,7 @@
 		return refuse(fault.KindOverloaded)
 	}
 	return Decision{
-		Verdict: Dispatch, Pool: p.name, Target: m.target.Name, Address: m.target.Address,
+		Verdict: Dispatch, Pool: p.name, Target: m.target.Name, Address: m.target.Address, NotAfter: st.expires,
 		slot: m.slot, region: p.region, stats: p.poolStats,
 	}
 }
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -98,6 +98,9 @@
 	// Target and Address are set with Dispatch.
 	Target  string
 	Address string
+	// NotAfter is set with Dispatch: nothing of the request may be sent at or
+	// after it, because the lease of the shares ends.
+	NotAfter time.Time
 	// Zone is set with Hop.
 	Zone string
 	// Ticket is set with Wait.
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return fault.New(fault.KindTargetRefused, "target %s is not known any more", d.Target)
 	}
-	a, err := c.Send(x.ctx, x.in, x.body, x.req.Deadline)
+	a, err := c.Send(x.ctx, x.in, x.body, x.req.Deadline, upstream.Terms{NotAfter: d.NotAfter, Once: !x.req.Idempotent})
 	if a != nil {
 		res.Leaving = a.Leaving
 	}
--- a/pkg/peer/hop/hop.go
+++ b/pkg/peer/hop/hop.go
@@ -62,7 +62,7 @@
 func (c *Client) Send(ctx context.Context, in *http.Request, body *upstream.Body, ch Choice) (*Answer, error) {
 	out := upstream.NewRequest(in, c.pool.Address(), body, nil)
 	setChoice(out.Header, ch)
-	a, err := c.pool.Send(ctx, out)
+	a, err := c.pool.SendUnder(ctx, out, upstream.Terms{Once: !ch.Idempotent})
 	if err != nil {
 		e := upstream.AsError(err)
 		return nil, fault.Wrap(kindOf(e), e, "instance %s", c.instance)
--- a/pkg/peer/target/target.go
+++ b/pkg/peer/target/target.go
@@ -54,16 +54,16 @@
 	Leaving bool
 }
 
-// Send sends in with body to the target, at most once. deadline travels with
-// the request. The errors carry a fault kind whose outcome tells whether the
+// Send sends in with body to the target under the terms, at most once.
+// deadline travels with the request. The errors carry a fault kind whose outcome tells whether the
 // target may have run the request.
-func (c *Client) Send(ctx context.Context, in *http.Request, body *upstream.Body, deadline time.Time) (*Answer, error) {
+func (c *Client) Send(ctx context.Context, in *http.Request, body *upstream.Body, deadline time.Time, t upstream.Terms) (*Answer, error) {
 	out := upstream.NewRequest(in, c.pool.Address(), body, func(field string) bool {
 		return strings.HasPrefix(field, ownPrefix) && !forwarded[field]
 	})
 	left := max(time.Until(deadline).Milliseconds(), 1)
 	out.Header[wire.HeaderDeadlineMS] = []string{strconv.FormatInt(left, 10)}
-	a, err := c.pool.Send(ctx, out)
+	a, err := c.pool.SendUnder(ctx, out, t)
 	if err != nil {
 		return nil, c.fault(upstream.AsError(err))
 	}
@@ -102,6 +102,7 @@
 var unsentKinds = map[upstream.Reason]fault.Kind{
 	upstream.Refused:    fault.KindTargetRefused,
 	upstream.Full:       fault.KindOverloaded,
+	upstream.Late:       fault.KindShareLapsed,
 	upstream.Lost:       fault.KindTargetRefused,
 	upstream.Garbage:    fault.KindTargetRefused,
 	upstream.TimedOut:   fault.KindDeadlinePassed,
--- a/pkg/peer/upstream/failure.go
+++ b/pkg/peer/upstream/failure.go
@@ -22,11 +22,13 @@
 	TimedOut
 	// Canceled: the caller has gone.
 	Canceled
+	// Late: the connection was had too late to send anything.
+	Late
 	// BodyFailed: the request's body could not be read to its end.
 	BodyFailed
 )
 
-var reasonNames = [...]string{"refused", "full", "lost", "garbage", "timed out", "canceled", "body failed"}
+var reasonNames = [...]string{"refused", "full", "lost", "garbage", "timed out", "canceled", "late", "body failed"}
 
 // String returns the name of r.
 func (r Reason) String() string { return reasonNames[r] }
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -73,8 +73,8 @@
 
 // get returns a connection for a request that is about to be sent: an idle
 // one that is not in doubt, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	c, g, err := p.take()
+func (p *Pool) get(ctx context.Context, once bool) (*conn, error) {
+	c, g, err := p.take(once)
 	if err != nil {
 		return nil, err
 	}
@@ -105,8 +105,9 @@
 }
 
 // take returns the idle connection used last, or nil after having reserved
-// the place of a new one with its generation. Doubtful ones are closed.
-func (p *Pool) take() (*conn, conngen.Generation, error) {
+// the place of a new one with its generation. Doubtful ones are closed. With
+// once, one that only such a request may not use is kept while there is room.
+func (p *Pool) take(once bool) (*conn, conngen.Generation, error) {
 	var dead []*conn
 	defer func() { closeAll(dead) }()
 	p.mu.Lock()
@@ -117,8 +118,13 @@
 	now := p.dialer.now()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
+		idle := now.Sub(c.answered)
+		sound := c.reusable() && p.tracker.Usable(c.generation, idle, false)
+		if sound && once && !p.tracker.Usable(c.generation, idle, true) && p.open < p.limit {
+			break
+		}
 		p.idle = p.idle[:n-1]
-		if c.reusable() && p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+		if sound && p.tracker.Usable(c.generation, idle, once) {
 			return c, 0, nil
 		}
 		p.open--
@@ -193,7 +199,7 @@
 	var dead []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+		if p.tracker.Usable(c.generation, now.Sub(c.answered), false) {
 			kept = append(kept, c)
 		} else {
 			dead = append(dead, c)
--- a/pkg/peer/upstream/pool_test.go
+++ b/pkg/peer/upstream/pool_test.go
@@ -198,3 +198,40 @@
 		t.Errorf("after the release: %v", err)
 	}
 }
+
+func TestNothingIsSentAfterTheLease(t *testing.T) {
+	s := startServer(t)
+	p, c := newTestPool(t, s, 1)
+	r, _ := http.NewRequest("GET", "http://"+p.Address()+"/", nil)
+	notAfter := c.now().Add(time.Second)
+	c.advance(time.Second)
+	_, err := p.SendUnder(t.Context(), r, Terms{NotAfter: notAfter})
+	if e := AsError(err); e.Reason != Late || e.Sent {
+		t.Errorf("after the lease: %v", e)
+	}
+	if err := send(t.Context(), p); err != nil {
+		t.Errorf("the connection that was not used: %v", err)
+	}
+}
+
+func TestRequestThatMustNotRunTwiceGetsAFreshConnection(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		s := startServer(t)
+		p, c := newTestPool(t, s, limit)
+		if err := send(t.Context(), p); err != nil {
+			t.Fatal(err)
+		}
+		s.silence()
+		c.advance(150 * time.Millisecond)
+		r, _ := http.NewRequest("POST", "http://"+p.Address()+"/", http.NoBody)
+		a, err := p.SendUnder(t.Context(), r, Terms{Once: true})
+		if err != nil {
+			t.Fatalf("limit %d: %v", limit, err)
+		}
+		io.Copy(io.Discard, a.Body)
+		a.Close()
+		if p.Open() != limit {
+			t.Errorf("limit %d: %d connections are open", limit, p.Open())
+		}
+	}
+}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -18,6 +18,7 @@
 var (
 	errHeaderTooLarge = errors.New("the header of the answer is too large")
 	errInterim        = errors.New("too many interim answers")
+	errLate           = errors.New("the time to send has passed")
 	errSwitch         = errors.New("the protocol was switched without being asked")
 )
 
@@ -44,10 +45,29 @@
 // header. The failures are of type *Error. A body that streams is read while
 // the answer may already be arriving, until Close returns.
 func (p *Pool) Send(ctx context.Context, r *http.Request) (*Answer, error) {
-	c, err := p.get(ctx)
+	return p.SendUnder(ctx, r, Terms{})
+}
+
+// Terms restrict how a request is sent.
+type Terms struct {
+	// NotAfter ends the time in which the request may be sent; the failure is
+	// then Late. Zero is no bound. It is compared once, when the connection is
+	// ready, so that a pause of the process before is noticed.
+	NotAfter time.Time
+	// Once marks a request that must not run twice.
+	Once bool
+}
+
+// SendUnder is Send under the given terms.
+func (p *Pool) SendUnder(ctx context.Context, r *http.Request, t Terms) (*Answer, error) {
+	c, err := p.get(ctx, t.Once)
 	if err != nil {
 		return nil, err
 	}
+	if !t.NotAfter.IsZero() && !p.dialer.now().Before(t.NotAfter) {
+		p.put(c, true)
+		return nil, &Error{Reason: Late, Err: errLate}
+	}
 	detach := context.AfterFunc(ctx, func() { _ = c.wire.SetDeadline(past) })
 	written, err := c.write(r)
 	var resp *http.Response
