Distrust a target that sends what nobody asked for

Cause: TestSecondAnswerReachesNobody failed once in four runs: a second answer that came 10 ms late reached the next request on its connection, and from there on each answer belonged to the request before, probes included. And TestStreamedBodyThatEndsEarlyIsUnknown gave caller-gone or body-mismatch, whichever was noticed first.

Weighed: HTTP/1.1 carries no ids, so the first displaced answer can't be told. A pause before each reuse would only shift the race and cost connections.

Change: the first unasked byte seen on an idle connection makes the pool send each request on a connection of its own for ten minutes. When the caller goes away during a streamed body, the failure is classified once the body has ended, so the kind is always body-mismatch.

Conclusion: one displaced answer remains possible with such a target.

--- a/pkg/peer/upstream/dialer.go
+++ b/pkg/peer/upstream/dialer.go
@@ -86,6 +86,10 @@
 // close closes the connection.
 func (c *conn) close() { _ = c.wire.Close() }
 
-// reusable reports whether an idle connection can take another request: it is
-// open, and everything that arrived on it has been consumed.
-func (c *conn) reusable() bool { return c.br.Buffered() == 0 && c.wire.quiet() }
+// look returns the state of the connection while it is idle.
+func (c *conn) look() state {
+	if c.br.Buffered() > 0 {
+		return unasked
+	}
+	return c.wire.look()
+}
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
 )
@@ -20,8 +21,15 @@
 	busy    map[*conn]struct{}
 	tracker *conngen.Tracker
 	closed  bool
+	// distrusted ends the time in which no connection is used twice, because
+	// the other end has sent what nobody asked for.
+	distrusted time.Time
 }
 
+// distrustTime is how long an end that sends unasked bytes gets each request
+// on a connection of its own: the answers on its connections may be displaced.
+const distrustTime = 10 * time.Minute
+
 // errFull is the cause of a Full failure.
 var errFull = errors.New("the bound on open connections is reached")
 
@@ -119,7 +127,7 @@
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		idle := now.Sub(c.answered)
-		sound := c.reusable() && p.tracker.Usable(c.generation, idle, false)
+		sound := p.isQuiet(c, now) && p.tracker.Usable(c.generation, idle, false)
 		if sound && once && !p.tracker.Usable(c.generation, idle, true) && p.open < p.limit {
 			break
 		}
@@ -137,6 +145,17 @@
 	return nil, p.tracker.Open(), nil
 }
 
+// isQuiet reports whether the idle connection c can take another request:
+// it is open, everything that arrived on it has been consumed, and the other
+// end is trusted.
+func (p *Pool) isQuiet(c *conn, now time.Time) bool {
+	s := c.look()
+	if s == unasked {
+		p.distrusted = now.Add(distrustTime)
+	}
+	return s == quiet && !now.Before(p.distrusted)
+}
+
 // heard notes that the answer to c's request has begun.
 func (p *Pool) heard(c *conn) {
 	p.mu.Lock()
@@ -153,7 +172,7 @@
 	p.mu.Lock()
 	delete(p.busy, c)
 	c.answered = p.dialer.now()
-	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && reuse
+	keep := reuse && !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && p.isQuiet(c, c.answered)
 	if keep {
 		p.idle = append(p.idle, c)
 	} else {
@@ -199,7 +218,7 @@
 	var dead []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if p.tracker.Usable(c.generation, now.Sub(c.answered), false) {
+		if p.isQuiet(c, now) && p.tracker.Usable(c.generation, now.Sub(c.answered), false) {
 			kept = append(kept, c)
 		} else {
 			dead = append(dead, c)
--- a/pkg/peer/upstream/pool_test.go
+++ b/pkg/peer/upstream/pool_test.go
@@ -235,3 +235,31 @@
 		}
 	}
 }
+
+func TestEndThatSendsUnaskedBytesGetsNoConnectionTwice(t *testing.T) {
+	s := startServer(t)
+	p, c := newTestPool(t, s, 4)
+	if err := send(t.Context(), p); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	io.WriteString(s.conns[0], "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+	s.mu.Unlock()
+	for range 5 {
+		if err := send(t.Context(), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.opened.Load(); n != 6 {
+		t.Errorf("opened %d connections for 6 requests, want 6", n)
+	}
+	c.advance(distrustTime)
+	for range 3 {
+		if err := send(t.Context(), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.opened.Load(); n != 7 {
+		t.Errorf("opened %d connections in all, want 7", n)
+	}
+}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -81,6 +81,7 @@
 	}
 	if err != nil {
 		detach()
+		awaitBody(ctx, written)
 		e := &Error{Reason: reasonOf(ctx, r, err, c.wire), Sent: c.wire.wrote.Load(), Err: err}
 		p.drop(c)
 		return nil, e
@@ -91,6 +92,21 @@
 	return &Answer{Response: resp, pool: p, conn: c, detach: detach, written: written, whole: whole}, nil
 }
 
+// bodyGrace bounds the wait for the end of a body whose caller has gone.
+const bodyGrace = 100 * time.Millisecond
+
+// awaitBody waits, when the caller has gone, until that shows in the body that
+// is being sent: a body that ended early is told from a mere disconnect.
+func awaitBody(ctx context.Context, written <-chan error) {
+	if written == nil || !errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	select {
+	case <-written:
+	case <-time.After(bodyGrace):
+	}
+}
+
 // write sends r. A body that streams is sent by a goroutine, whose end is
 // received from written.
 func (c *conn) write(r *http.Request) (written <-chan error, err error) {
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -70,17 +70,38 @@
 	return n, err
 }
 
-// quiet reports whether an idle connection is open and has nothing to read.
-func (c *wireConn) quiet() bool {
+// state is what an idle connection looks like.
+type state uint8
+
+// The states of an idle connection.
+const (
+	// quiet: open, with nothing to read.
+	quiet state = iota
+	// gone: closed by the other end, or broken.
+	gone
+	// unasked: bytes have arrived that belong to no request.
+	unasked
+)
+
+// look returns the state of an idle connection without consuming anything.
+func (c *wireConn) look() state {
 	if c.raw == nil {
-		return true
+		return quiet
 	}
-	quiet := false
+	s := gone
 	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN:
+			s = quiet
+		case err == nil && n > 0:
+			s = unasked
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return gone
+	}
+	return s
 }
