Hedge late idempotent requests

Cause: the decision offered hedges and the path made none; an idempotent request sent into a silent connection waited for its deadline.

Weighed: two goroutines for each request from the start against a timer that starts the second attempt: the latter costs nothing more on the common path.

Change: an attempt is an object of its own (send, deliver, done). After the delay that the decision names, and within its budget, a second one is made; the first answer counts and the other attempt is cancelled. When both fail and only the second may have run, its kind is given. Spans carry their context on a copy of the request, as two attempts may run at once.

--- a/pkg/node/account.go
+++ b/pkg/node/account.go
@@ -49,27 +49,6 @@
 	return x.last.Zone
 }
 
-// traced runs an attempt within a span of its own.
-func (x *exchange) traced(d steer.Decision, run func() error) error {
-	name, attributes := "dispatch", []attribute.KeyValue{attribute.String("pool", d.Pool)}
-	if d.Verdict == steer.Hop {
-		name = "hop"
-		attributes = append(attributes, attribute.String("zone", d.Zone))
-	} else {
-		attributes = append(attributes, attribute.String("target", d.Target))
-	}
-	outer := x.ctx
-	ctx, span := x.node.tracer.Client(outer, x.in.Header, name)
-	if span == nil {
-		return run()
-	}
-	x.ctx = ctx
-	err := run()
-	x.ctx = outer
-	telemetry.End(span, fault.KindOf(err), attributes...)
-	return err
-}
-
 // reportHeadroom reports the pools' headroom until ctx ends.
 func (n *Node) reportHeadroom(ctx context.Context) {
 	t := time.NewTicker(headroomInterval)
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -2,13 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
-	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
@@ -21,64 +20,6 @@
 // is passed on, so that a failure within it can still be answered.
 const wholeAnswerBytes = 32 << 10
 
-// dispatch sends the request to a target and passes its answer on.
-func (x *exchange) dispatch(d steer.Decision, start time.Time, res *steer.Result) error {
-	c, ok := x.view.targets[d.Target]
-	if !ok {
-		return fault.New(fault.KindTargetRefused, "target %s is not known any more", d.Target)
-	}
-	a, err := c.Send(x.ctx, x.in, x.body, x.req.Deadline, upstream.Terms{NotAfter: d.NotAfter, Once: !x.req.Idempotent})
-	if a != nil {
-		res.Leaving = a.Leaving
-	}
-	if err != nil {
-		return err
-	}
-	defer a.Close()
-	res.Latency = x.latencySince(start)
-	head := headOf(a.Answer)
-	first, err := x.readFirst(a.Answer, head)
-	if err != nil {
-		e := a.BodyError(x.ctx, err)
-		return fault.Wrap(target.Kind(e), e, "target %s", d.Target)
-	}
-	h := x.w.Header()
-	h.Set(wire.HeaderOutcome, string(fault.Completed))
-	h.Set(wire.HeaderTarget, d.Target)
-	x.keep(d.Target, head, first)
-	res.Kind = x.pass(a.Answer, head, first, isOwnField)
-	return nil
-}
-
-// hop passes the request to an instance of the decided zone and passes its
-// answer on.
-func (x *exchange) hop(d steer.Decision, start time.Time, res *steer.Result) error {
-	c := x.pickHop(d.Zone)
-	if c == nil {
-		return fault.Wrap(fault.KindHopRefused, errNoInstance, "zone %s", d.Zone)
-	}
-	a, err := c.Send(x.ctx, x.in, x.body, hop.Choice{
-		Route: x.req.Route.Name, Pool: d.Pool, Version: x.view.tables.Version,
-		Idempotent: x.req.Idempotent, Deadline: x.req.Deadline,
-	})
-	if err != nil {
-		return err
-	}
-	defer a.Close()
-	res.Latency = x.latencySince(start)
-	if a.Kind != fault.KindNone {
-		return fault.WithRetryAfter(fault.New(a.Kind, "zone %s: %s", d.Zone, a.Kind), a.RetryAfter)
-	}
-	head := headOf(a.Answer)
-	first, err := x.readFirst(a.Answer, head)
-	if err != nil {
-		return fault.Wrap(fault.KindHopLost, err, "zone %s", d.Zone)
-	}
-	x.keep(a.Header.Get(wire.HeaderTarget), head, first)
-	res.Kind = x.pass(a.Answer, head, first, isInstanceField)
-	return nil
-}
-
 // pickHop returns an instance of zone at random, or nil.
 func (x *exchange) pickHop(zone string) *hop.Client {
 	cs := x.view.hops[zone]
@@ -131,7 +72,7 @@
 
 // pass gives the answer to the caller. When it breaks off after its header,
 // the connection to the caller is cut, so that the caller can tell.
-func (x *exchange) pass(a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
+func (x *exchange) pass(ctx context.Context, a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
 	x.closeUnread()
 	x.relay.Final(head, skip)
 	var body io.Reader = a.Body
@@ -145,7 +86,7 @@
 		return fault.KindCallerGone
 	case errRead != nil:
 		x.broken = true
-		return target.Kind(a.BodyError(x.ctx, errRead))
+		return target.Kind(a.BodyError(ctx, errRead))
 	}
 	return fault.KindNone
 }
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
@@ -134,31 +133,27 @@
 
 // attempt carries out d. Without an error the answer has been given.
 func (x *exchange) attempt(d steer.Decision) error {
-	x.req.Attempts++
-	x.last = d
-	start := x.node.now()
-	var res steer.Result
-	var err error
-	defer func() {
-		x.node.latencies.observe(d, res)
-		x.node.waiters.deliver(x.node.core.Done(x.node.now(), d, res))
-	}()
-	if d.Verdict == steer.Hop {
-		x.req.Exclude(d.Zone)
-		err = x.traced(d, func() error { return x.hop(d, start, &res) })
-	} else {
-		x.req.Exclude(d.Target)
-		err = x.traced(d, func() error { return x.dispatch(d, start, &res) })
+	t, settle := x.make(d)
+	defer settle()
+	defer t.done()
+	x.last = t.d
+	if t.err == nil {
+		t.deliver()
 	}
-	if err != nil {
-		res.Kind = fault.KindOf(err)
-	}
-	x.kind = res.Kind
-	return err
+	x.kind = t.res.Kind
+	return t.err
 }
 
-// latencySince is the time to the first byte of the answer.
-func (x *exchange) latencySince(start time.Time) time.Duration { return x.node.now().Sub(start) }
+// make makes the attempt that d decides on, with a hedge where one may help.
+// settle is called after the attempt has been done with.
+func (x *exchange) make(d steer.Decision) (t *try, settle func()) {
+	if delay, ok := x.node.core.HedgeDelay(&x.req, d); ok && !x.body.Streams() {
+		return x.hedged(d, delay)
+	}
+	t = x.newTry(x.ctx, d)
+	t.send()
+	return t, func() {}
+}
 
 // closeUnread ends the caller's connection after the answer when the body of
 // its request has not been read to its end.
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -94,15 +94,17 @@
 	return t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
 }
 
-// Client starts the span of a request that is passed on with header h, to
-// which it adds the trace context.
-func (t *Tracer) Client(ctx context.Context, h http.Header, name string) (context.Context, trace.Span) {
+// Client starts the span of an attempt to pass r on, and returns r with the
+// trace context in its header.
+func (t *Tracer) Client(ctx context.Context, r *http.Request, name string) (context.Context, trace.Span, *http.Request) {
 	if t == nil {
-		return ctx, nil
+		return ctx, nil, r
 	}
 	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient))
-	t.propagator.Inject(ctx, propagation.HeaderCarrier(h))
-	return ctx, span
+	out := *r
+	out.Header = r.Header.Clone()
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	return ctx, span, &out
 }
 
 // End ends a span, which may be nil, with what became of the request.
