Know a request that crashes targets at every instance

Cause: a test of processes sent a request that crashes its target to one instance after the other. What they told each other did not help: callers talk to instances by IP numbers, the host of each repeat was that instance's address, and the host was part of the request's fingerprint. 5 and 7 targets were lost, and one instance still lost one seven seconds after another had begun to hold the request back.

Weighed: with the route's own host only when the route has one, the same; the route's name says that already. Requests for different hosts on a route without a host now count as the same when path and body agree; that matters only after two targets were lost.

--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -79,7 +79,7 @@
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
 	x.req.BodyBytes = body.Length()
-	x.req.Fingerprint = fingerprint(x.in, body)
+	x.req.Fingerprint = fingerprint(x.req.Route.Name, x.in, body)
 	return true
 }
 
