--- a/cmd/jacinthrampd/serve.go
+++ b/cmd/jacinthrampd/serve.go
@@ -6,9 +6,9 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/daemon"
-	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // message returns the text of err without its kind's prefix being repeated.
@@ -16,10 +16,14 @@
 
 // serve runs one instance until ctx ends and it has left.
 func serve(ctx context.Context, s *settings.Settings) error {
-	log, err := newLogger(s.Log.Level)
+	log, err := telemetry.NewLogger(s.Log.Level)
 	if err != nil {
 		return err
 	}
+	// The HTTP library writes to the standard log when a target misbehaves.
+	if _, err := zap.RedirectStdLogAt(log, zap.DebugLevel); err != nil {
+		return err
+	}
 	client := platform.NewClient(s.Platform.URL, nil)
 	defer client.Close()
 	d, err := daemon.New(s, client, log)
@@ -28,12 +32,3 @@
 	}
 	return d.Run(ctx)
 }
-
-// newLogger returns a structured log on standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	if err := c.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, fault.Wrap(fault.KindInvalidSettings, err, "log.level")
-	}
-	return c.Build()
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // Listeners are the open listeners of an instance.
@@ -37,6 +38,9 @@
 	// know yet. Nil switches that off.
 	Instances platform.Instances
 	Log       *zap.Logger
+	// Metrics and Tracer may be nil.
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
 	// Seed starts the random choices.
 	Seed uint64
 }
@@ -48,22 +52,27 @@
 	listeners Listeners
 	cluster   Cluster
 	log       *zap.Logger
+	metrics   *telemetry.Metrics
+	tracer    *telemetry.Tracer
 	core      *steer.Core
 	dialer    *upstream.Dialer
 	waiters   *waiters
 	repeats   *repeats
 	finder    *finder
 	latencies *latencies
-	drains    *drains
-	view      atomic.Pointer[view]
-	stage     atomic.Int32
-	inFlight  atomic.Int64
-	now       func() time.Time
+	// queued is signalled when a request begins to wait.
+	queued   chan struct{}
+	drains   *drains
+	view     atomic.Pointer[view]
+	stage    atomic.Int32
+	inFlight atomic.Int64
+	now      func() time.Time
 	// attached is set when the cluster sets the shares itself.
 	attached bool
 }
 
-// tickInterval is the time between two looks at the queued requests.
+// tickInterval is the time between two looks at the queued requests, while
+// there are any.
 const tickInterval = 5 * time.Millisecond
 
 // New returns a Node; Run starts it.
@@ -75,6 +84,8 @@
 		listeners: c.Listeners,
 		cluster:   c.Cluster,
 		log:       c.Log,
+		metrics:   c.Metrics,
+		tracer:    c.Tracer,
 		core:      steer.New(place, rand.NewPCG(c.Seed, c.Seed^uint64(len(c.Self.ID)))),
 		dialer:    upstream.NewDialer(upstream.Options{DialTimeout: c.Settings.Limits.DialTimeout.Std()}),
 		waiters:   newWaiters(),
@@ -88,6 +99,7 @@
 		n.attached = true
 	}
 	n.latencies = newLatencies(n.now)
+	n.queued = make(chan struct{}, 1)
 	n.stage.Store(stageServing)
 	n.view.Store(emptyView())
 	return n
@@ -107,6 +119,9 @@
 	wg.Go(func() { n.tick(background) })
 	wg.Go(func() { n.probe(background) })
 	wg.Go(func() { n.sweep(background) })
+	if n.metrics != nil {
+		wg.Go(func() { n.reportHeadroom(background) })
+	}
 	err := n.serve(ctx)
 	stop()
 	wg.Wait()
@@ -152,22 +167,45 @@
 	}
 }
 
-// tick wakes queued requests whose time has come.
+// tick wakes queued requests whose time has come: often while any wait, else
+// only as often as the decisions have to be reviewed.
 func (n *Node) tick(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
+	interval := tickInterval
+	t := time.NewTimer(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.queued:
+			if interval == tickInterval {
+				continue
+			}
+			interval = tickInterval
 		case <-t.C:
 			n.waiters.deliver(n.core.Tick(n.now()))
+			interval = tickInterval
+			if !n.core.Waiting() {
+				interval = steer.ReviewInterval
+			}
 		}
+		t.Reset(interval)
+	}
+}
+
+// signalQueued makes tick look at the queued requests soon.
+func (n *Node) signalQueued() {
+	select {
+	case n.queued <- struct{}{}:
+	default:
 	}
 }
 
 // recordDrain reports that a leaving target is empty.
 func (n *Node) recordDrain(name string, took time.Duration) {
+	if n.metrics != nil {
+		n.metrics.Drain(name, took)
+	}
 	n.log.Info("target drained", zap.String("target", name), zap.Duration("took", took))
 }
 
