Compare lowered limits with the largest of five counts

Cause: on a running system with 200 requests a second a region's limit was lowered to 1 and accepted: the one count that it was compared with fell between two requests.

Change: what is running is counted five times, 100 ms apart, and the largest counts.

--- a/pkg/operate/running.go
+++ b/pkg/operate/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/peer/operator"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
@@ -27,9 +28,32 @@
 		return nil, []string{"all: the platform's list of instances can't be read"}
 	}
 	run := count(old, s.Admin.StatusOfAll(ctx, list))
+	for range runningSamples - 1 {
+		if s.pause(ctx, runningInterval) != nil {
+			break
+		}
+		run.raise(count(old, s.Admin.StatusOfAll(ctx, list)))
+	}
 	return Below(old, after, run.regions, run.pools), run.unchecked
 }
 
+const (
+	// runningSamples is how often the requests in flight are counted; the
+	// largest count is taken for what is running.
+	runningSamples  = 5
+	runningInterval = 100 * time.Millisecond
+)
+
+// raise takes over the counts of a later sample that are larger.
+func (r *running) raise(later running) {
+	for name, n := range later.regions {
+		r.regions[name] = max(r.regions[name], n)
+	}
+	for name, n := range later.pools {
+		r.pools[name] = max(r.pools[name], n)
+	}
+}
+
 // Below returns a problem for each region and pool whose limit is lowered
 // below its requests in flight.
 func Below(old, after *table.Tables, regions, pools map[string]int) []table.Problem {
