--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -75,11 +75,7 @@
 func (x *exchange) pass(ctx context.Context, a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
 	x.closeUnread()
 	x.relay.Final(head, skip)
-	var body io.Reader = a.Body
-	if len(first.data) > 0 {
-		body = io.MultiReader(bytes.NewReader(first.data), a.Body)
-	}
-	errRead, errWrite := x.relay.Body(body, head)
+	errRead, errWrite := x.passBody(a, head, first)
 	switch {
 	case errWrite != nil:
 		x.broken = true
@@ -91,6 +87,17 @@
 	return fault.KindNone
 }
 
+// passBody writes the body of an answer of which first has been read.
+func (x *exchange) passBody(a *upstream.Answer, head caller.Head, first firstPart) (errRead, errWrite error) {
+	switch {
+	case first.whole:
+		return nil, x.relay.Whole(first.data, head)
+	case len(first.data) > 0:
+		return x.relay.Body(io.MultiReader(bytes.NewReader(first.data), a.Body), head)
+	}
+	return x.relay.Body(a.Body, head)
+}
+
 // isOwnField reports whether field belongs to the system.
 func isOwnField(field string) bool { return strings.HasPrefix(field, "Jacinthramp-") }
 
--- a/pkg/node/repeats.go
+++ b/pkg/node/repeats.go
@@ -124,7 +124,9 @@
 	h.Set(wire.HeaderTarget, a.Target)
 	head := caller.Head{Status: a.Status, Header: a.Header, Length: int64(len(a.Body))}
 	x.relay.Final(head, isOwnField)
-	x.w.Write(a.Body)
+	if x.relay.Whole(a.Body, head) != nil {
+		x.broken = true
+	}
 }
 
 // passHome passes a repeat to the instance that its id names. When that can't
--- a/pkg/peer/caller/relay.go
+++ b/pkg/peer/caller/relay.go
@@ -85,6 +85,17 @@
 	r.w.WriteHeader(head.Status)
 }
 
+// Whole writes a body that has been read whole.
+func (r *Relay) Whole(body []byte, head Head) error {
+	if len(body) > 0 {
+		if _, err := r.w.Write(body); err != nil {
+			return err
+		}
+	}
+	r.trailer(head.Trailer)
+	return nil
+}
+
 // Body copies body; streaming answers are flushed as they come. errRead is a
 // failure of the answer, errWrite one of the caller.
 func (r *Relay) Body(body io.Reader, head Head) (errRead, errWrite error) {
