--- a/cmd/jacinthrampd/main.go
+++ b/cmd/jacinthrampd/main.go
@@ -15,9 +15,18 @@
 )
 
 func main() {
-	cmd := &cli.Command{
-		Name:  "jacinthrampd",
-		Usage: "run one instance of the traffic steering system",
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "jacinthrampd:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+// command returns the command line.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:        "jacinthrampd",
+		Usage:       "run one instance of the traffic steering system",
+		Description: "Example:\n\n    jacinthrampd --config examples/instance-1.yaml",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in YAML", Required: true},
 			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
@@ -25,10 +34,6 @@
 		Action:         run,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "jacinthrampd:", message(err))
-		os.Exit(exitCode(err))
-	}
 }
 
 // exitCode returns the exit code of err's kind; an error without a kind comes
--- a/cmd/jacinthrampd/serve.go
+++ b/cmd/jacinthrampd/serve.go
@@ -11,9 +11,6 @@
 	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
-// message returns the text of err without its kind's prefix being repeated.
-func message(err error) string { return err.Error() }
-
 // serve runs one instance until ctx ends and it has left.
 func serve(ctx context.Context, s *settings.Settings) error {
 	log, err := telemetry.NewLogger(s.Log.Level)
--- a/pkg/node/dispatch.go
+++ b/pkg/node/answer.go
@@ -20,15 +20,7 @@
 // is passed on, so that a failure within it can still be answered.
 const wholeAnswerBytes = 32 << 10
 
-// pickHop returns an instance of zone at random, or nil.
-func (x *exchange) pickHop(zone string) *hop.Client {
-	cs := x.view.hops[zone]
-	if len(cs) == 0 {
-		return nil
-	}
-	return cs[x.node.random(len(cs))]
-}
-
+// headOf returns the header of a.
 func headOf(a *upstream.Answer) caller.Head {
 	return caller.Head{Status: a.StatusCode, Header: a.Header, Trailer: a.Trailer, Length: a.ContentLength}
 }
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -39,9 +39,6 @@
 	result outcome.Result
 }
 
-// errNoInstance is the cause when a zone has no instance to pass a request to.
-var errNoInstance = errors.New("no instance of the zone is known")
-
 // run brings the request to its answer.
 func (x *exchange) run() {
 	if !x.takeBody() {
--- a/pkg/node/try.go
+++ b/pkg/node/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -17,6 +18,9 @@
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
+// errNoInstance is the cause when a zone has no instance to pass a request to.
+var errNoInstance = errors.New("no instance of the zone is known")
+
 // try is one attempt of a request: a dispatch to a target or a hop.
 type try struct {
 	x *exchange
@@ -111,6 +115,15 @@
 	return nil
 }
 
+// pickHop returns an instance of zone at random, or nil.
+func (x *exchange) pickHop(zone string) *hop.Client {
+	cs := x.view.hops[zone]
+	if len(cs) == 0 {
+		return nil
+	}
+	return cs[x.node.random(len(cs))]
+}
+
 // take reads the first part of an answer.
 func (t *try) take(a *upstream.Answer) error {
 	t.res.Latency = t.x.node.now().Sub(t.start)
--- /dev/null
+++ b/pkg/node/wait_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// oneSlot runs an instance before a target with one slot, whose requests stay
+// until release is closed or receives.
+func oneSlot(t *testing.T, queueTimeout time.Duration) (m *member, started chan string, release chan struct{}) {
+	t.Helper()
+	started, release = make(chan string, 8), make(chan struct{}, 8)
+	tables := oneTarget(startTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		started <- r.URL.Path
+		<-release
+		io.WriteString(w, r.URL.Path)
+	}), "osrednja-a")
+	tables.Pools[0].Targets[0].Slots = 1
+	tables.Routes[0].QueueTimeout = table.Duration(queueTimeout)
+	m = startMember(t, "a-1", "osrednja-a")
+	m.run(t, tables)
+	return m, started, release
+}
+
+// post sends a non-idempotent request and returns its answer's header and body.
+func post(ctx context.Context, m *member, path string) (http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, "POST", m.url()+path, strings.NewReader("x"))
+	if err != nil {
+		return nil, "", err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.Header, string(b), err
+}
+
+func TestRequestWaitsForAFreeSlot(t *testing.T) {
+	m, started, release := oneSlot(t, 5*time.Second)
+	answers := make(chan string, 2)
+	for _, path := range []string{"/feedlog/1", "/feedlog/2"} {
+		go func() {
+			_, body, _ := post(t.Context(), m, path)
+			answers <- body
+		}()
+	}
+	<-started
+	for m.inFlight.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(started) != 0 {
+		t.Error("both requests run in one slot")
+	}
+	release <- struct{}{}
+	<-started
+	release <- struct{}{}
+	got := map[string]bool{<-answers: true, <-answers: true}
+	if !got["/feedlog/1"] || !got["/feedlog/2"] {
+		t.Errorf("answers %v", got)
+	}
+	checkNothingHeld(t, m)
+}
+
+func TestRequestThatWaitsTooLongIsNotRun(t *testing.T) {
+	m, started, release := oneSlot(t, 20*time.Millisecond)
+	first := make(chan struct{})
+	go func() {
+		post(t.Context(), m, "/feedlog/1")
+		close(first)
+	}()
+	<-started
+	h, _, err := post(t.Context(), m, "/feedlog/2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.Get(wire.HeaderOutcome) != "not-run" || h.Get(wire.HeaderKind) != "overloaded" || h.Get(wire.HeaderRetryAfterMS) == "" {
+		t.Errorf("header %v", h)
+	}
+	release <- struct{}{}
+	<-first
+	if len(started) != 0 {
+		t.Error("the request that was called not run has run")
+	}
+}
+
+func TestCallerThatLeavesTheQueueIsNotRun(t *testing.T) {
+	m, started, release := oneSlot(t, 5*time.Second)
+	first := make(chan struct{})
+	go func() {
+		post(t.Context(), m, "/feedlog/1")
+		close(first)
+	}()
+	<-started
+	ctx, cancel := context.WithCancel(t.Context())
+	second := make(chan struct{})
+	go func() {
+		post(ctx, m, "/feedlog/2")
+		close(second)
+	}()
+	for m.inFlight.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-second
+	for m.inFlight.Load() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	release <- struct{}{}
+	<-first
+	for m.inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(started) != 0 {
+		t.Error("the request whose caller has left has run")
+	}
+	checkNothingHeld(t, m)
+}
+
+// loseFirst returns a target that ends the connection of the first request of
+// all after having read it, and answers the others.
+func loseFirst(runs *atomic.Int32) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			if r.URL.Path == "/feedlog" && runs.Add(1) == 1 {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+func TestOnlyIdempotentRequestsAreRetriedAfterALoss(t *testing.T) {
+	for name, c := range map[string]struct {
+		mark string
+		body io.Reader
+		want string
+		runs int32
+	}{
+		"idempotent":               {"true", strings.NewReader("x"), "completed", 2},
+		"non-idempotent":           {"false", strings.NewReader("x"), "unknown", 1},
+		"idempotent with a stream": {"true", io.MultiReader(strings.NewReader("x")), "unknown", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			m := startMember(t, "a-1", "osrednja-a")
+			m.run(t, twoTargets(startRaw(t, loseFirst(&runs)), startRaw(t, loseFirst(&runs))))
+			r, _ := http.NewRequest("POST", m.url()+"/feedlog", c.body)
+			r.Header.Set(wire.HeaderIdempotent, c.mark)
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if got := resp.Header.Get(wire.HeaderOutcome); got != c.want || runs.Load() != c.runs {
+				t.Errorf("outcome %q after %d runs, want %q after %d", got, runs.Load(), c.want, c.runs)
+			}
+		})
+	}
+}
