--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -10,7 +10,6 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
-	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/target"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
