Say deadline-passed of a body that comes too slowly

Cause: a small body that did not come within the deadline got no answer at all: the reading ended at the same time as the writing, 1 s after the deadline.

Change: the reading ends 100 ms after the deadline, and the kind is deadline-passed, not run, in place of bad-request. BenchmarkForward gets a case with metrics.

Results: TestBodyThatComesTooSlowlyIsNotRun failed before (no answer) and passes; go test -count=2 -race ./pkg/node: ok.

--- a/pkg/node/badinput_test.go
+++ b/pkg/node/badinput_test.go
@@ -88,6 +88,16 @@
 	checkServing(t, m)
 }
 
+func TestBodyThatComesTooSlowlyIsNotRun(t *testing.T) {
+	m := startWith(t, echo)
+	text := "POST /feedlog HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n" + wire.HeaderDeadlineMS + ": 50\r\n\r\nslow"
+	resp := sendRaw(t, m, text, false)
+	if resp.Header.Get(wire.HeaderKind) != "deadline-passed" || resp.Header.Get(wire.HeaderOutcome) != "not-run" {
+		t.Errorf("answer %d %v", resp.StatusCode, resp.Header)
+	}
+	checkServing(t, m)
+}
+
 func TestStreamedBodyThatEndsEarlyIsUnknown(t *testing.T) {
 	m := startWith(t, echo)
 	text := "POST /feedlog HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 200_000)
--- a/pkg/node/bench_test.go
+++ b/pkg/node/bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
@@ -35,8 +36,16 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * benchWorkers}}
 	defer client.CloseIdleConnections()
 
-	for _, workers := range []int{1, benchWorkers} {
-		b.Run(map[int]string{1: "one", benchWorkers: "eight"}[workers], func(b *testing.B) {
+	metrics := telemetry.NewMetrics("a-1", "osrednja-a")
+	defer metrics.Close()
+	for _, c := range []struct {
+		name    string
+		workers int
+		metrics *telemetry.Metrics
+	}{{"one", 1, nil}, {"eight", benchWorkers, nil}, {"eight-metrics", benchWorkers, metrics}} {
+		b.Run(c.name, func(b *testing.B) {
+			workers := c.workers
+			m.metrics = c.metrics
 			var direct, through []time.Duration
 			var directTime, throughTime time.Duration
 			const rounds = 10
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -71,7 +71,7 @@
 func (x *exchange) takeBody() bool {
 	body, err := upstream.NewBody(x.in, x.req.Route.MaxBody)
 	if err != nil {
-		x.refuse(bodyRefusal(err))
+		x.refuse(x.bodyRefusal(err))
 		return false
 	}
 	x.body = body
@@ -85,9 +85,12 @@
 }
 
 // bodyRefusal answers for a body that could not be read before the dispatch.
-func bodyRefusal(err error) caller.Refusal {
-	if errors.Is(err, upstream.ErrBodyTooLarge) {
+func (x *exchange) bodyRefusal(err error) caller.Refusal {
+	switch {
+	case errors.Is(err, upstream.ErrBodyTooLarge):
 		return caller.Refusal{Kind: fault.KindBodyTooLarge, Message: err.Error()}
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+		return caller.Refusal{Kind: fault.KindDeadlinePassed, Message: "the body came too slowly"}
 	}
 	return caller.Refusal{Kind: fault.KindBadRequest, Message: "the body ended early or is malformed: " + err.Error()}
 }
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -180,12 +180,16 @@
 func (x *exchange) guardCaller() {
 	rc := http.NewResponseController(x.w)
 	// A connection that knows no deadlines is served without them.
-	_ = rc.SetReadDeadline(x.req.Deadline.Add(callerGrace))
+	_ = rc.SetReadDeadline(x.req.Deadline.Add(bodyGrace))
 	_ = rc.SetWriteDeadline(x.req.Deadline.Add(callerGrace))
 }
 
-// callerGrace is how long after the deadline the answer may be written.
-const callerGrace = time.Second
+const (
+	// bodyGrace is how long after the deadline the end of a body is awaited.
+	bodyGrace = 100 * time.Millisecond
+	// callerGrace is how long after the deadline the answer may be written.
+	callerGrace = time.Second
+)
 
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
