--- a/pkg/node/forward_test.go
+++ b/pkg/node/forward_test.go
@@ -56,6 +56,9 @@
 			t.Errorf("the target got %s", f)
 		}
 	}
+	if got.Get("Via") != "1.1 jacinthramp" || got.Get("X-Forwarded-For") != "127.0.0.1" {
+		t.Errorf("the target got %v", got)
+	}
 	if got.Get("X-Kept") != "1" || got.Get("Te") != "trailers" {
 		t.Errorf("the target got %v", got)
 	}
