Stop instances and targets as planned during an outage, and count every refusal

Cause: planned stops were tested with the store up only, and one at a time. And a request that was refused, came back after a second and completed showed as latency without a reason.

Change: a test that stops an instance and a process of targets at the same moment while the store is down; load and demo count the error kinds of all answers that the system made itself, not only the last ones; three systems of processes at a time.

--- a/cmd/jacinthramp/load.go
+++ b/cmd/jacinthramp/load.go
@@ -94,7 +94,7 @@
 		fmt.Fprintf(t, "%s\t%d\n", row.name, row.value)
 	}
 	for _, kind := range slices.Sorted(maps.Keys(rep.Kinds)) {
-		fmt.Fprintf(t, "last kind %q\t%d\n", kind, rep.Kinds[kind])
+		fmt.Fprintf(t, "answers %s\t%d\n", kind, rep.Kinds[kind])
 	}
 	fmt.Fprintf(t, "\nlatency in ms\trequests\tcompleted\tp50\tp90\tp99\tp99.9\tmax\n")
 	writePart(t, "all", load.Part{Requests: rep.Requests, Completed: rep.Completed, LatencyMS: rep.LatencyMS})
--- a/pkg/demo/report.go
+++ b/pkg/demo/report.go
@@ -73,7 +73,7 @@
 			100*r.Details.MeanFree[region], 100*r.Details.LowestFree[region])
 	}
 	for _, kind := range slices.Sorted(maps.Keys(r.Details.Load.Kinds)) {
-		row("last kind "+kind, "%d", r.Details.Load.Kinds[kind])
+		row("answers "+kind, "%d", r.Details.Load.Kinds[kind])
 	}
 	fmt.Fprintf(t, "\nlatency in ms\trequests\tcompleted\tp50\tp90\tp99\tmax\n")
 	r.Details.writeLatency(t)
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -73,8 +73,9 @@
 type Result struct {
 	// Outcome is what the caller knows in the end.
 	Outcome fault.Outcome
-	// Kind names the error kind of the last answer that the system made itself.
-	Kind string
+	// Kinds names the error kinds of the answers that the system made itself,
+	// in order.
+	Kinds []string
 	// Wrong is set when an answer was not the whole answer to the request.
 	Wrong error
 	// CutOff counts the submissions whose connection broke before the answer's end.
@@ -213,15 +214,16 @@
 
 // take takes in an answer.
 func (s *submission) take(ctx context.Context, in wire.LookupInstance, resp *http.Response) (time.Duration, bool) {
-	s.result.Kind = resp.Header.Get(wire.HeaderKind)
+	kind := resp.Header.Get(wire.HeaderKind)
 	switch outcome := fault.Outcome(resp.Header.Get(wire.HeaderOutcome)); outcome {
 	case fault.Completed:
 		return s.completed(ctx, resp)
 	case fault.NotRun, fault.Unknown:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 		s.result.Outcome = outcome
+		s.result.Kinds = append(s.result.Kinds, kind)
 		s.renewable = outcome == fault.NotRun && !s.unsettled
-		s.react(in)
+		s.react(in, kind)
 		return retryAfter(resp), true
 	default:
 		s.result.Wrong = &exchange.WrongAnswerError{Reason: "no outcome, status " + strconv.Itoa(resp.StatusCode)}
@@ -231,8 +233,8 @@
 }
 
 // react follows from the kind of an answer that the system made itself.
-func (s *submission) react(in wire.LookupInstance) {
-	switch s.result.Kind {
+func (s *submission) react(in wire.LookupInstance, kind string) {
+	switch kind {
 	case fault.KindLeaving.String():
 		s.tried[in.ID] = true
 		s.caller.lookups.expire(s.request.Route)
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -224,7 +224,7 @@
 
 func TestUnknownStaysUnknown(t *testing.T) {
 	s := newSystem(t, func(w http.ResponseWriter, _ *http.Request) { refuse(w, fault.KindTargetLost) })
-	if res := s.do(t, true); res.Outcome != fault.Unknown || res.Submissions != maxSubmissions || res.Kind != "target-lost" {
+	if res := s.do(t, true); res.Outcome != fault.Unknown || res.Submissions != maxSubmissions || len(res.Kinds) != maxSubmissions || res.Kinds[0] != "target-lost" {
 		t.Fatalf("result: %+v", res)
 	}
 }
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -40,7 +41,8 @@
 	TargetErrors int `json:"target_errors"`
 	// Submissions counts every sending of a request.
 	Submissions int `json:"submissions"`
-	// Kinds counts the last error kinds of requests that did not complete.
+	// Kinds counts the error kinds of all answers that the system made itself,
+	// also those after which the request was submitted again and completed.
 	Kinds map[string]int `json:"kinds,omitempty"`
 	// LatencyMS is over all completed requests, in milliseconds.
 	LatencyMS Percentiles `json:"latency_ms"`
@@ -112,7 +114,7 @@
 
 // NewCollector returns an empty Collector.
 func NewCollector() *Collector {
-	return &Collector{all: newSeries(), routes: map[string]*series{}, members: map[string]*series{}}
+	return &Collector{report: Report{Kinds: map[string]int{}}, all: newSeries(), routes: map[string]*series{}, members: map[string]*series{}}
 }
 
 // Add takes in the result of r, which took the given time from when it was due.
@@ -141,6 +143,9 @@
 	rep.Submissions += res.Submissions
 	rep.CutOff += res.CutOff
 	rep.Unanswered += res.Unanswered
+	for _, kind := range res.Kinds {
+		rep.Kinds[kind]++
+	}
 	if res.Wrong != nil {
 		rep.WrongAnswers++
 		if len(rep.Wrong) < maxDescribed {
@@ -162,10 +167,6 @@
 	default:
 		rep.Unknown++
 	}
-	if rep.Kinds == nil {
-		rep.Kinds = map[string]int{}
-	}
-	rep.Kinds[res.Kind]++
 }
 
 // Report returns what has been gathered. Nil runs mean that the targets'
@@ -174,6 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rep := c.report
+	rep.Kinds = maps.Clone(rep.Kinds)
 	rep.LatencyMS = percentiles(c.all.latency)
 	rep.Routes = parts(c.routes)
 	rep.Members = parts(c.members)
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -130,3 +130,26 @@
 	s.serves("after")
 	s.withinSlots()
 }
+
+func TestPlannedStopsDuringAnOutageCutOffNothing(t *testing.T) {
+	s := newSystem(t)
+	p := s.load("load", 9)
+	time.Sleep(hold / 2)
+	s.fault(`{"down":true}`)
+	s.instances[1].proc.signal(syscall.SIGTERM)
+	s.targets[2].proc.signal(syscall.SIGTERM)
+	for _, m := range []*member{s.instances[1], s.targets[2]} {
+		if code := m.proc.wait(); code != 0 {
+			t.Errorf("planned stop of %s: exit code %d", m.name, code)
+		}
+	}
+	s.fault(`{"down":false}`)
+	s.startInstance(1)
+	s.startTargets(2)
+	rep := s.reportAfter(p)
+	if rep.CutOff > 0 || rep.Unanswered > 0 || rep.Unknown > 0 {
+		t.Errorf("planned stops were noticed: %+v", rep)
+	}
+	s.serves("after")
+	s.withinSlots()
+}
--- a/test/process/system_test.go
+++ b/test/process/system_test.go
@@ -56,7 +56,7 @@
 var zones = []string{"osrednja-a", "osrednja-a", "osrednja-b", "osrednja-b"}
 
 // atOnce bounds the systems that run at the same time.
-var atOnce = make(chan struct{}, 2)
+var atOnce = make(chan struct{}, 3)
 
 // newSystem starts a system and puts its tables in force. The test runs
 // beside others.
@@ -211,7 +211,7 @@
 	if err := json.Unmarshal(p.output.Bytes(), &rep); err != nil {
 		s.t.Fatalf("report of %s, exit code %d: %v\n%s", p.name, code, err, p.output.String())
 	}
-	s.t.Logf("%s: %d requests, %d completed, %d not run, %d unknown, %d cut off, %d unanswered, %d submissions, last kinds %v",
+	s.t.Logf("%s: %d requests, %d completed, %d not run, %d unknown, %d cut off, %d unanswered, %d submissions, refusals and failures %v",
 		p.name, rep.Requests, rep.Completed, rep.NotRun, rep.Unknown, rep.CutOff, rep.Unanswered, rep.Submissions, rep.Kinds)
 	for _, broken := range rep.Broken() {
 		s.t.Errorf("%s: %s: %d wrong answers, %d duplicate runs, %d false not run %v",
