--- a/pkg/standin/target/server.go
+++ b/pkg/standin/target/server.go
@@ -17,11 +17,12 @@
 
 // life is one run of a target between its start and its crash or stop.
 type life struct {
-	slots   chan struct{}
-	times   *serviceTimes
-	crashed chan struct{}
-	server  *http.Server
-	conns   *connSet
+	listener net.Listener
+	slots    chan struct{}
+	times    *serviceTimes
+	crashed  chan struct{}
+	server   *http.Server
+	conns    *connSet
 }
 
 // Start listens and serves, and returns the address.
@@ -49,10 +50,11 @@
 // begin serves a new life on ln; the caller holds t.mu.
 func (t *Target) begin(ln net.Listener) {
 	l := &life{
-		slots:   make(chan struct{}, t.config.Slots),
-		times:   newServiceTimes(t.config),
-		crashed: make(chan struct{}),
-		conns:   newConnSet(),
+		listener: ln,
+		slots:    make(chan struct{}, t.config.Slots),
+		times:    newServiceTimes(t.config),
+		crashed:  make(chan struct{}),
+		conns:    newConnSet(),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(wire.PathTargetHealth, t.serveHealth)
@@ -70,6 +72,14 @@
 	return t.life
 }
 
+// end stops listening, before it returns, and breaks every connection.
+func (l *life) end() {
+	close(l.crashed)
+	_ = l.listener.Close()
+	l.conns.abort()
+	_ = l.server.Close()
+}
+
 // take ends the present life in the books and returns it, or nil.
 func (t *Target) take() *life {
 	t.mu.Lock()
@@ -87,9 +97,7 @@
 		return
 	}
 	t.count(func(s *Stats) { s.Crashes++ })
-	close(l.crashed)
-	l.conns.abort()
-	_ = l.server.Close()
+	l.end()
 	after := t.config.RestartAfter.Std()
 	if after == 0 {
 		return
@@ -161,9 +169,7 @@
 	t.closed = true
 	t.mu.Unlock()
 	if l := t.take(); l != nil {
-		close(l.crashed)
-		l.conns.abort()
-		_ = l.server.Close()
+		l.end()
 	}
 	t.wg.Wait()
 }
