Keep the wait at another zone out of its round trip

Cause: a hop's whole latency went into the zone's round trip, so a zone that had once made hops wait was avoided for good; and each hop counted twice against the headroom, half of which was ignored. Weighed: discounts for what other instances send (factors 2 and 1/2, 1 and 1/2, 1 and 1) against the plain balance of the report and own hops. Change: the round trip follows the low end of the hops' latencies, up to four times its prior; the plain balance.

--- a/pkg/decision/choice/latency.go
+++ b/pkg/decision/choice/latency.go
@@ -65,3 +65,37 @@
 	}
 	return fallback
 }
+
+// Weights of one observation in a Floor.
+const (
+	floorFall = 0.2
+	floorRise = 0.005
+)
+
+// Floor follows the low end of the observed durations. The zero value knows
+// nothing. It may be used from several goroutines at once; concurrent
+// observations may be lost.
+type Floor struct {
+	nanos atomic.Uint64
+}
+
+// Observe takes in one duration.
+func (f *Floor) Observe(d time.Duration) {
+	old := math.Float64frombits(f.nanos.Load())
+	weight := floorRise
+	switch {
+	case old == 0:
+		weight = 1
+	case float64(d) < old:
+		weight = floorFall
+	}
+	f.nanos.Store(math.Float64bits(old + weight*(float64(d)-old)))
+}
+
+// Value returns the estimate, or fallback when nothing was observed.
+func (f *Floor) Value(fallback time.Duration) time.Duration {
+	if v := math.Float64frombits(f.nanos.Load()); v > 0 {
+		return time.Duration(v)
+	}
+	return fallback
+}
--- a/pkg/decision/steer/zone.go
+++ b/pkg/decision/steer/zone.go
@@ -12,16 +12,13 @@
 const (
 	// zoneProbes bounds the zones that one decision looks at.
 	zoneProbes = 8
-	// summaryPart is the part of a reported headroom that one instance uses,
-	// since others see the same report.
-	summaryPart = 0.5
-	// othersFactor times the hops of this instance is taken to be sent by all.
-	othersFactor = 2
 	// unknownPart is the part of a zone's slots that is taken to be free when
 	// nothing is known.
 	unknownPart = 0.25
 	// zonePause keeps hops from a zone that has just refused one.
 	zonePause = 200 * time.Millisecond
+	// maxPriors times the prior is the longest round trip that is believed.
+	maxPriors = 4
 	// sameSummary is how far the times of two summaries may be apart at which
 	// they are taken to be one that came by two ways.
 	sameSummary = 20 * time.Millisecond
@@ -44,7 +41,7 @@
 	inFlight atomic.Int64
 	// counted is the part of inFlight that the last summary knew of.
 	counted  atomic.Int64
-	rtt      choice.Mean
+	rtt      choice.Floor
 	health   choice.Health
 	pausedTo atomic.Int64
 }
@@ -86,7 +83,7 @@
 
 // backlog estimates how many requests wait in the zone; below zero it is the
 // number that it can take at once. A report is discounted by its age, and
-// raised by what this instance and, presumably, others have sent since.
+// moved on by what this instance has sent since and has had back.
 func (z *zone) backlog(now int64) float64 {
 	sent := float64(z.inFlight.Load())
 	unknown := sent - unknownPart*float64(z.slots)
@@ -96,16 +93,19 @@
 	}
 	fresh := spill.Freshness(time.Duration(now - z.summaryAt.Load()))
 	sent -= float64(z.counted.Load())
-	known := float64(sum.Queued) - summaryPart*float64(sum.Free) + othersFactor*sent
+	known := float64(sum.Queued-sum.Free) + sent
 	return fresh*known + (1-fresh)*unknown
 }
 
-// roundTrip returns the time that a hop adds to the service time.
+// roundTrip returns the time that a hop adds to the service time. What was
+// measured counts up to a few times the prior: hops that had to wait there
+// must not keep later ones away.
 func (z *zoneStats) roundTrip() time.Duration {
+	prior := spill.PriorRegionRTT
 	if z.sameRegion {
-		return z.rtt.Value(spill.PriorZoneRTT)
+		prior = spill.PriorZoneRTT
 	}
-	return z.rtt.Value(spill.PriorRegionRTT)
+	return min(z.rtt.Value(prior), maxPriors*prior)
 }
 
 // service returns the zone's reported service time.
@@ -130,9 +130,7 @@
 	switch res.Kind {
 	case fault.KindNone:
 		z.health.Succeeded()
-		if sum := z.summary.Load(); sum != nil {
-			z.rtt.Observe(max(0, res.Latency-sum.LatencyEstimate))
-		}
+		z.rtt.Observe(res.Latency)
 	case fault.KindHopLost, fault.KindHopRefused:
 		if z.health.Failed() {
 			z.health.Eject(now)
