--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -3,45 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
-	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
 )
 
-// conn is one connection of a pool.
-type conn struct {
-	client     *http.ClientConn
-	wire       *wireConn
-	generation conngen.Generation
-	// answered is the time of the last complete answer.
-	answered time.Time
-	// sent is when the present request was sent.
-	sent time.Time
-	// silent is set once the present request has been noted as silent.
-	silent bool
-}
-
-// open dials address.
-func (d *Dialer) open(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.timeout)
-	defer cancel()
-	c := &conn{}
-	client, err := d.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &c.wire), "http", address)
-	if err != nil {
-		return nil, err
-	}
-	c.client = client
-	return c, nil
-}
-
-// reusable reports whether the connection can take another request: it is
-// open, idle, and everything that arrived on it has been consumed.
-func (c *conn) reusable() bool {
-	return c.client.Available() > 0 && c.wire.waiting.Load()
-}
-
 // Pool holds the connections to one address.
 type Pool struct {
 	address string
@@ -101,14 +67,14 @@
 
 func closeAll(cs []*conn) {
 	for _, c := range cs {
-		c.client.Close()
+		c.close()
 	}
 }
 
 // get returns a connection for a request that is about to be sent: an idle
 // one that is not in doubt, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	c, g, err := p.take()
+func (p *Pool) get(ctx context.Context, once bool) (*conn, error) {
+	c, g, err := p.take(once)
 	if err != nil {
 		return nil, err
 	}
@@ -139,8 +105,9 @@
 }
 
 // take returns the idle connection used last, or nil after having reserved
-// the place of a new one with its generation. Doubtful ones are closed.
-func (p *Pool) take() (*conn, conngen.Generation, error) {
+// the place of a new one with its generation. Doubtful ones are closed. With
+// once, one that only such a request may not use is kept while there is room.
+func (p *Pool) take(once bool) (*conn, conngen.Generation, error) {
 	var dead []*conn
 	defer func() { closeAll(dead) }()
 	p.mu.Lock()
@@ -151,8 +118,13 @@
 	now := p.dialer.now()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
+		idle := now.Sub(c.answered)
+		sound := c.reusable() && p.tracker.Usable(c.generation, idle, false)
+		if sound && once && !p.tracker.Usable(c.generation, idle, true) && p.open < p.limit {
+			break
+		}
 		p.idle = p.idle[:n-1]
-		if c.reusable() && p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+		if sound && p.tracker.Usable(c.generation, idle, once) {
 			return c, 0, nil
 		}
 		p.open--
@@ -176,13 +148,12 @@
 	p.tracker.Answered(c.generation)
 }
 
-// put takes c back after an exchange. A connection that can't be used again
-// is closed.
-func (p *Pool) put(c *conn) {
+// put takes c back after an exchange; without reuse it is closed.
+func (p *Pool) put(c *conn, reuse bool) {
 	p.mu.Lock()
 	delete(p.busy, c)
 	c.answered = p.dialer.now()
-	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && c.client.Available() > 0
+	keep := !p.closed && p.open <= p.limit && !p.tracker.Retired(c.generation) && reuse
 	if keep {
 		p.idle = append(p.idle, c)
 	} else {
@@ -190,13 +161,13 @@
 	}
 	p.mu.Unlock()
 	if !keep {
-		c.client.Close()
+		c.close()
 	}
 }
 
 // drop closes c after a failure.
 func (p *Pool) drop(c *conn) {
-	c.client.Close()
+	c.close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.busy, c)
@@ -228,7 +199,7 @@
 	var dead []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if p.tracker.Usable(c.generation, now.Sub(c.answered)) {
+		if p.tracker.Usable(c.generation, now.Sub(c.answered), false) {
 			kept = append(kept, c)
 		} else {
 			dead = append(dead, c)
