Let requests wait at an instance that has lent all its shares

Cause: an instance without a share of its zone's targets refused what was passed to it, so its peers stayed away and its share never came back. Change: it lets them wait as for one slot; shares move to where requests wait. While regions are silent the guard's growth is the cap over the pool's share among those heard.

--- a/pkg/decision/steer/choose.go
+++ b/pkg/decision/steer/choose.go
@@ -76,10 +76,11 @@
 func (m *member) take(now int64) bool { return acquire(&m.inFlight, m.usable(now)) }
 
 // hasCandidate reports whether any target of this zone could be chosen for r
-// once it has a free slot.
+// once this instance has a free slot of it. It may have no share now: shares
+// move to where requests wait.
 func (p *pool) hasCandidate(now int64, r *Request) bool {
 	for _, m := range p.local {
-		if m.usable(now) > 0 && !r.Excluded(m.name) {
+		if m.open(now) && !r.Excluded(m.name) {
 			return true
 		}
 	}
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -68,6 +68,9 @@
 	if d.Verdict == Dispatch || d.Kind == fault.KindShareLapsed || (d.Kind == fault.KindShiftCapped && p.suspect.Load()) {
 		return d
 	}
+	if !p.hasCandidate(c.nanos(now), r) {
+		return refuse(fault.KindNoTarget)
+	}
 	return c.enqueue(st, p, now, r)
 }
 
--- a/pkg/decision/steer/pool.go
+++ b/pkg/decision/steer/pool.go
@@ -34,6 +34,8 @@
 	suspect atomic.Bool
 	// heard is when the other regions were all heard last.
 	heard atomic.Int64
+	// heardPart is the planned share of the pools whose regions are heard.
+	heardPart atomic.Uint64
 	// peers is the last summary of this zone's other instances.
 	peers atomic.Pointer[ZoneSummary]
 
@@ -89,12 +91,10 @@
 	return least, found
 }
 
-// expectedWait estimates the wait of a request behind ahead others.
+// expectedWait estimates the wait of a request behind ahead others. Without a
+// share it is taken that one slot will come.
 func (p *poolStats) expectedWait(ahead int) time.Duration {
-	slots := p.slots.Load()
-	if slots <= 0 {
-		return math.MaxInt64
-	}
+	slots := max(1, p.slots.Load())
 	return time.Duration(float64(ahead+1) * float64(p.service.Value(priorService)) / float64(slots))
 }
 
--- a/pkg/decision/steer/slot.go
+++ b/pkg/decision/steer/slot.go
@@ -53,9 +53,14 @@
 	}
 }
 
+// open reports whether the target may be chosen at now when it has a free slot.
+func (m *member) open(now int64) bool {
+	return !m.drain && !m.leaving.Load() && !m.health.Ejected(now)
+}
+
 // usable returns how many requests the target may have in flight at now.
 func (m *member) usable(now int64) int64 {
-	if m.drain || m.leaving.Load() || m.health.Ejected(now) || now < m.pausedTo.Load() {
+	if !m.open(now) || now < m.pausedTo.Load() {
 		return 0
 	}
 	return m.health.Usable(now, m.share.Load())
--- a/pkg/decision/steer/start.go
+++ b/pkg/decision/steer/start.go
@@ -35,9 +35,14 @@
 // pool may take it.
 func (p *pool) admit(now int64) bool {
 	g := p.guard.Load()
-	return g == nil || g.Take(now, g.growth, shift.Evidence{Silent: p.suspect.Load(), Heard: p.heard.Load()})
+	return g == nil || g.Take(now, g.growth*p.heardShare(), shift.Evidence{Silent: p.suspect.Load(), Heard: p.heard.Load()})
 }
 
+// heardShare returns the planned share of the pools whose regions are heard.
+// The pool's own share may grow as that falls, and the cap is a smaller part
+// of it.
+func (p *pool) heardShare() float64 { return math.Float64frombits(p.heardPart.Load()) }
+
 // unadmit gives back one request that got no target.
 func (p *pool) unadmit() {
 	if g := p.guard.Load(); g != nil {
@@ -51,6 +56,8 @@
 	silent bool
 	// heard is when the one heard longest ago was heard last.
 	heard int64
+	// heardShare is the planned share of the pools without a silent zone.
+	heardShare float64
 	// here and elsewhere are set when instances of this or another region
 	// have served for longer than the window.
 	here      bool
@@ -70,6 +77,7 @@
 		if p := pl.picks[i].pool; len(p.local) > 0 {
 			p.suspect.Store(nb.silent)
 			p.heard.Store(nb.heard)
+			p.heardPart.Store(math.Float64bits(nb.heardShare))
 		}
 	}
 	if rt.settled {
@@ -92,6 +100,7 @@
 	for i := range pl.picks {
 		p := pl.picks[i].pool
 		here := p.row.Region == c.self.Region
+		silent := false
 		if sum := p.peers.Load(); sum != nil {
 			nb.hear(sum, window, here)
 		}
@@ -102,10 +111,14 @@
 			}
 			nb.hear(sum, window, here)
 			if !here {
-				nb.silent = nb.silent || z.silent(now)
+				silent = silent || z.silent(now)
 				nb.heard = min(nb.heard, z.summaryAt.Load())
 			}
 		}
+		nb.silent = nb.silent || silent
+		if !silent {
+			nb.heardShare += pl.picks[i].planned
+		}
 	}
 	return nb
 }
