Announce a version with the patch that leads to it

Weighed: announcing the whole tables (grows with them); more watchers (more reads of the store). Chosen: the announcement carries the loader's step, is tried three times, and whoever can't follow it fetches the content, whose hash is checked against its head as when it comes from the store. A peer's content and a step need no trust beyond the head's hash.

Change also: only one answer to a heartbeat carries the other zones' summaries, and the sender's own entry only when it is not known; the loader is taken by a channel, since a wait for it can be ended. In pkg/tablestore: Take and Content.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
 )
 
 // Cluster is one instance's part in what the instances share. The methods
@@ -50,14 +51,19 @@
 	inbox      *allowance.Inbox
 	borrower   *allowance.Borrower
 	zones      *zoneBook
-	heard      time.Time // when a watcher last answered
-	promisedAt time.Time // when promises were last asked for
+	step       *tablestore.Step // to the tables in force, or nil
+	heard      time.Time        // when a watcher last answered
+	promisedAt time.Time        // when promises were last asked for
 	leaving    bool
 	started    time.Time
 
 	// row and etag are what the store last held, for the row loop alone.
 	row  *allowance.Row
 	etag string
+	// loading holds one value while loader is in use, also while it reads.
+	loading chan struct{}
+	loader  *tablestore.Loader
+
 	// headETag is that of the tables' head, for the tables loop alone.
 	headETag string
 }
@@ -69,7 +75,7 @@
 	c := &Cluster{
 		cfg: cfg, timing: t, self: self, store: newGuard(t.Store), list: newGuard(t.Store),
 		updates: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), beatDue: make(chan struct{}, 1),
-		announceDue: make(chan struct{}, 1), offers: make(chan member.Info, maxOffers), row: &allowance.Row{},
+		announceDue: make(chan struct{}, 1), loading: make(chan struct{}, 1), offers: make(chan member.Info, maxOffers), row: &allowance.Row{},
 		view:      member.New(toInfo(cfg.Self), t.Member),
 		ledger:    allowance.NewLedger(self, cfg.Self.PeerAddress, t.Allowance, allowance.Rules{}),
 		witness:   allowance.NewWitness(self, t.Allowance),
@@ -77,6 +83,7 @@
 		inbox:     allowance.NewInbox(t.Allowance),
 		zones:     newZoneBook(cfg.Self.Zone),
 	}
+	c.loader = tablestore.NewLoader(guardedObjects{cfg.Objects, c.store})
 	c.borrower = allowance.NewBorrower(t.Allowance, func(n int) int { return int(cfg.Rand() * float64(n)) })
 	c.shares.Store(&steer.Shares{})
 	c.instances.Store(&[]platform.Instance{cfg.Self})
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -30,6 +30,7 @@
 	objects   map[string][]byte
 	instances map[string]platform.Instance
 	etag      int
+	tables    *table.Tables
 	down      atomic.Bool
 	listDown  atomic.Bool
 	reads     atomic.Int64
@@ -153,6 +154,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.objects[name] = data
+	if s.tables != nil {
+		from, _, _ := tablestore.Encode(s.tables)
+		patch, _ := json.Marshal(map[string]any{"from": from, "patch": table.PatchOf(s.tables, t)})
+		s.objects[tablestore.PatchPrefix+name] = patch
+	}
+	s.tables = t
 	s.etag++
 	s.rows[tablestore.CurrentKey] = platform.Row{Key: tablestore.CurrentKey, ETag: fmt.Sprint("t", s.etag), Value: head, ModifiedAt: time.Now()}
 }
--- a/pkg/cluster/handler.go
+++ b/pkg/cluster/handler.go
@@ -44,9 +44,13 @@
 func (c *Cluster) heartbeatReply(now time.Time, q *instance.HeartbeatRequest) *instance.HeartbeatReply {
 	row := c.ledger.Row()
 	r := &instance.HeartbeatReply{
-		From: c.view.Self(), Tables: c.versions.InForce(),
-		RowVersion: row.Version, RowLayout: row.Layout,
-		Zones: c.zones.others(now), Poison: c.pushPoison(now),
+		Tables: c.versions.InForce(), RowVersion: row.Version, RowLayout: row.Layout, Poison: c.pushPoison(now),
+	}
+	if self := c.view.Self(); q.To != c.self || self.Leaving {
+		r.From = &self
+	}
+	if q.WantZones {
+		r.Zones = c.zones.others(now)
 	}
 	if h := row.Holder(q.Beat.Key); h != nil {
 		r.Recorded = h.Renewal
@@ -63,27 +67,32 @@
 	return r
 }
 
-// Announce takes in what is new at the sender: higher tables are fetched, a
-// new layout of the row comes with the answer to the next heartbeat.
+// Announce takes in what is new at the sender: higher tables by the step that
+// came along, or else they are fetched; a new layout of the row comes with the
+// answer to the next heartbeat.
 func (c server) Announce(_ context.Context, q *instance.AnnounceRequest) (*instance.AnnounceReply, error) {
+	c.follow(q.Step)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.view.ObserveHeartbeat(time.Now(), q.From)
 	c.offer(q.From, q.Version)
 	if q.Layout > c.ledger.Row().Layout {
 		signal(c.beatDue)
 	}
-	inForce := c.versions.InForce()
-	c.mu.Unlock()
-	return &instance.AnnounceReply{Version: inForce}, nil
+	return &instance.AnnounceReply{Version: c.versions.InForce()}, nil
 }
 
-// Tables returns the tables in force when they are above what the caller has.
+// Tables returns the content in force when it is above what the caller has.
 func (c server) Tables(_ context.Context, q *instance.TablesRequest) (*instance.TablesReply, error) {
-	t := c.tables.Load()
-	if t == nil || t.Version <= q.Have {
+	if t := c.tables.Load(); t == nil || t.Version <= q.Have {
 		return &instance.TablesReply{}, nil
 	}
-	return &instance.TablesReply{Tables: t}, nil
+	if !c.tryLoading() {
+		return nil, fault.New(fault.KindNotReady, "a version is being loaded")
+	}
+	defer func() { <-c.loading }()
+	head, content, err := c.loader.Content()
+	return &instance.TablesReply{Head: head, Content: content}, err
 }
 
 // Lend answers a request for shares.
--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -39,10 +39,12 @@
 	sent := time.Now()
 	q, to := c.heartbeat(sent)
 	var wg conc.WaitGroup
-	for _, w := range to {
+	for i, w := range to {
 		wg.Go(func() {
+			q := *q
+			q.To, q.WantZones = keyOf(w), i == 0
 			r := &instance.HeartbeatReply{}
-			if err := c.call(ctx, w, instance.MethodHeartbeat, q, r); err == nil {
+			if err := c.call(ctx, w, instance.MethodHeartbeat, &q, r); err == nil {
 				c.heartbeatAnswered(w, r)
 			}
 		})
@@ -107,7 +109,10 @@
 func (c *Cluster) heartbeatAnswered(from member.Info, r *instance.HeartbeatReply) {
 	now := time.Now()
 	c.mu.Lock()
-	c.view.ObserveHeartbeat(now, r.From)
+	if r.From != nil {
+		from = *r.From
+	}
+	c.view.ObserveHeartbeat(now, from)
 	c.heard = now
 	if r.Row != nil {
 		c.observeRow(now, r.Row)
@@ -124,7 +129,6 @@
 	}
 	c.takePoison(now, r.Poison)
 	c.publish(now)
-	from.ID = r.From.ID
 	c.offer(from, r.Tables)
 	c.mu.Unlock()
 }
--- a/pkg/cluster/tables.go
+++ b/pkg/cluster/tables.go
@@ -20,7 +20,11 @@
 	// maxOffers bounds the offers that wait to be followed.
 	maxOffers = 16
 	// announceWidth bounds the announcements under way at a time.
-	announceWidth = 32
+	announceWidth = 64
+	// announceTries bounds the tries to reach one member.
+	announceTries = 3
+	// maxStep is the largest patch in bytes that an announcement carries.
+	maxStep = 64 << 10
 )
 
 // tablesLoop reads the tables' head from the store: often as a watcher, else
@@ -58,31 +62,73 @@
 	return row, changed, err
 }
 
+// guardedObjects is the platform's object store within the budget.
+type guardedObjects struct {
+	platform.Objects
+	guard *guard
+}
+
+// GetObject reads an object within the budget.
+func (g guardedObjects) GetObject(ctx context.Context, name string) (data []byte, found bool, err error) {
+	err = g.guard.read(ctx, func(ctx context.Context) error {
+		data, found, err = g.Objects.GetObject(ctx, name)
+		return err
+	})
+	return data, found, err
+}
+
 // readHead reads the head and, when it names a higher version, its content.
 func (c *Cluster) readHead(ctx context.Context) {
 	head, etag, changed, err := tablestore.ReadHead(ctx, guardedTables{c.cfg.Tables, c.store}, c.headETag)
 	if err != nil || !changed {
 		return
 	}
-	if !c.wanted(head.Version) {
+	err = c.load(head.Version, func() (*table.Tables, error) { return c.loader.Load(ctx, head) })
+	if err == nil || fault.KindOf(err) == fault.KindInvalidTable {
 		c.headETag = etag
-		return
 	}
-	var t *table.Tables
-	err = c.store.read(ctx, func(ctx context.Context) error {
-		t, err = tablestore.Load(ctx, c.cfg.Objects, head)
-		return err
-	})
-	if fault.KindOf(err) == fault.KindInvalidTable {
-		c.reject(head.Version, err)
-		c.headETag = etag
+}
+
+// load puts in force what f gets from the loader, when version is higher.
+func (c *Cluster) load(version uint64, f func() (*table.Tables, error)) error {
+	c.loading <- struct{}{}
+	defer func() { <-c.loading }()
+	if !c.wanted(version) {
+		return nil
+	}
+	t, err := f()
+	switch {
+	case err == nil:
+		c.accept(t)
+	case fault.KindOf(err) == fault.KindInvalidTable:
+		c.reject(version, err)
+	}
+	return err
+}
+
+// tryLoading takes the loader when nobody uses it, and reports whether it did.
+func (c *Cluster) tryLoading() bool {
+	select {
+	case c.loading <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// follow puts a step in force when it starts from the version in force. It
+// does not wait for a version that is being loaded.
+func (c *Cluster) follow(s *tablestore.Step) {
+	if s == nil || !c.tryLoading() {
 		return
 	}
-	if err != nil {
+	defer func() { <-c.loading }()
+	if !c.wanted(s.Head.Version) {
 		return
 	}
-	c.headETag = etag
-	c.accept(t)
+	if t, ok := c.loader.Follow(*s); ok {
+		c.accept(t)
+	}
 }
 
 func (c *Cluster) wanted(version uint64) bool {
@@ -100,12 +146,17 @@
 	signal(c.updates)
 }
 
-// accept puts tables in force when their version is higher, and announces them.
+// accept puts tables in force when their version is higher, and has them
+// announced. The caller has the loader.
 func (c *Cluster) accept(t *table.Tables) {
 	c.mu.Lock()
 	higher := c.versions.Accept(t.Version)
 	if higher {
 		c.tables.Store(t)
+		c.step = nil
+		if last := c.loader.Last(); len(last.Patch) > 0 && len(last.Patch) <= maxStep {
+			c.step = &last
+		}
 	}
 	c.mu.Unlock()
 	if !higher {
@@ -132,18 +183,30 @@
 
 func (c *Cluster) announce(ctx context.Context) {
 	c.mu.Lock()
-	q := &instance.AnnounceRequest{From: c.view.Self(), Version: c.versions.InForce(), Layout: c.ledger.Row().Layout}
+	q := &instance.AnnounceRequest{
+		From: c.view.Self(), Version: c.versions.InForce(), Layout: c.ledger.Row().Layout, Step: c.step,
+	}
 	members := c.view.Zone(time.Now(), c.cfg.Self.Zone)
 	c.mu.Unlock()
 	p := pool.New().WithMaxGoroutines(announceWidth)
 	for _, m := range members {
 		if m.State != member.Suspect {
-			p.Go(func() { _ = c.call(ctx, m.Info, instance.MethodAnnounce, q, &instance.AnnounceReply{}) })
+			p.Go(func() { c.announceTo(ctx, m.Info, q) })
 		}
 	}
 	p.Wait()
 }
 
+// announceTo tries a few times to reach one member.
+func (c *Cluster) announceTo(ctx context.Context, to member.Info, q *instance.AnnounceRequest) {
+	for range announceTries {
+		err := c.call(ctx, to, instance.MethodAnnounce, q, &instance.AnnounceReply{})
+		if fault.KindOf(err) != fault.KindPeerUnavailable || instance.IsRefused(err) {
+			return
+		}
+	}
+}
+
 // offer queues a fetch when version is higher. The caller holds mu.
 func (c *Cluster) offer(from member.Info, version uint64) {
 	if !c.versions.Wanted(version) {
@@ -173,15 +236,9 @@
 	have := c.versions.InForce()
 	c.mu.Unlock()
 	r := &instance.TablesReply{}
-	if err := c.call(ctx, from, instance.MethodTables, &instance.TablesRequest{Have: have}, r); err != nil || r.Tables == nil {
-		return
-	}
-	if !c.wanted(r.Tables.Version) {
-		return
-	}
-	if err := r.Tables.Validate(); err != nil {
-		c.reject(r.Tables.Version, err)
+	err := c.call(ctx, from, instance.MethodTables, &instance.TablesRequest{Have: have}, r)
+	if err != nil || len(r.Content) == 0 {
 		return
 	}
-	c.accept(r.Tables)
+	_ = c.load(r.Head.Version, func() (*table.Tables, error) { return c.loader.Take(r.Head, r.Content) })
 }
--- a/pkg/peer/instance/messages.go
+++ b/pkg/peer/instance/messages.go
@@ -11,7 +11,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
-	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
 )
 
 // Method names one call.
@@ -35,6 +35,10 @@
 	// Tables and Rejected are the versions in force and unreadable.
 	Tables   uint64 `json:"tables"`
 	Rejected uint64 `json:"rejected,omitempty"`
+	// To is the incarnation that the sender takes the receiver for.
+	To allowance.Key `json:"to"`
+	// WantZones asks for the summaries of other zones.
+	WantZones bool `json:"want_zones,omitempty"`
 	// Members digests the sender's view of the zone.
 	Members uint64 `json:"members"`
 	// Summaries are the sender's own part of the zone's headroom.
@@ -45,8 +49,10 @@
 
 // HeartbeatReply answers a heartbeat.
 type HeartbeatReply struct {
-	From   member.Info `json:"from"`
-	Tables uint64      `json:"tables"`
+	// From is set when the receiver is not who the sender takes it for, or
+	// leaves.
+	From   *member.Info `json:"from,omitempty"`
+	Tables uint64       `json:"tables"`
 	// Row is set when the sender has not seen its layout.
 	Row *allowance.Row `json:"row,omitempty"`
 	// RowVersion and RowLayout are the receiver's newest; Recorded is the
@@ -59,7 +65,7 @@
 	Members  []member.Report `json:"members,omitempty"`
 	Agree    bool            `json:"agree,omitempty"`
 	AgreeAge time.Duration   `json:"agree_age,omitempty"`
-	// Zones are the summaries of other zones.
+	// Zones are the summaries of other zones, when asked for.
 	Zones  []ZoneReport    `json:"zones,omitempty"`
 	Poison []poison.Record `json:"poison,omitempty"`
 }
@@ -88,6 +94,8 @@
 	// Version is that of the tables in force, Layout that of the zone's row.
 	Version uint64 `json:"version"`
 	Layout  uint64 `json:"layout"`
+	// Step leads from the version before to Version, when it is short.
+	Step *tablestore.Step `json:"step,omitempty"`
 }
 
 // AnnounceReply holds the version in force at the receiver.
@@ -100,9 +108,11 @@
 	Have uint64 `json:"have"`
 }
 
-// TablesReply holds the tables in force, or nothing when Have is as high.
+// TablesReply holds the content in force as it was accepted, or nothing when
+// Have is as high.
 type TablesReply struct {
-	Tables *table.Tables `json:"tables,omitempty"`
+	Head    tablestore.Head `json:"head"`
+	Content []byte          `json:"content,omitempty"`
 }
 
 // LendRequest asks for a loan of shares.
--- a/pkg/tablestore/loader.go
+++ b/pkg/tablestore/loader.go
@@ -88,6 +88,26 @@
 // Last returns the step to the tables loaded last.
 func (l *Loader) Last() Step { return l.last }
 
+// Take keeps content that came from another Loader, as Load does with what
+// it reads itself.
+func (l *Loader) Take(h Head, content []byte) (*table.Tables, error) {
+	t, err := Decode(content, h)
+	if err != nil {
+		return nil, err
+	}
+	return l.take(t, Step{Head: h}), nil
+}
+
+// Content returns the content of the tables loaded last, for Take. It is
+// empty before the first.
+func (l *Loader) Content() (h Head, content []byte, err error) {
+	if l.accepted == nil {
+		return Head{}, nil, nil
+	}
+	_, content, err = Encode(l.accepted)
+	return l.last.Head, content, err
+}
+
 // take keeps t as the tables loaded last and fills its defaults.
 func (l *Loader) take(t *table.Tables, s Step) *table.Tables {
 	l.accepted, l.name, l.last = t, s.Head.Object, s
