--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -93,8 +93,13 @@
 
 // zoneInstances returns the number of this zone's listed instances, at least 1.
 func (n *Node) zoneInstances() int {
-	_, count := rankOf(n.cluster.Instances(), n.self)
-	return count
+	count := 0
+	for _, in := range n.cluster.Instances() {
+		if in.Zone == n.self.Zone {
+			count++
+		}
+	}
+	return max(count, 1)
 }
 
 // homeClients returns the clients of all other listed instances, with the
