--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -135,12 +135,26 @@
 
 // run runs the operators' command to its end and returns its output.
 func run(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out := command(t, args...)
+	if code != 0 {
+		t.Fatalf("jacinthramp %s: exit code %d\n%s", strings.Join(args, " "), code, out)
+	}
+	return out
+}
+
+// command runs the operators' command and returns its exit code and output.
+func command(t *testing.T, args ...string) (int, string) {
 	t.Helper()
 	out, err := exec.CommandContext(t.Context(), filepath.Join(binaries, "jacinthramp"), args...).CombinedOutput()
-	if err != nil {
-		t.Fatalf("jacinthramp %s: %v\n%s", strings.Join(args, " "), err, out)
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatalf("jacinthramp %s: %v", strings.Join(args, " "), err)
+	}
+	if exit != nil {
+		return exit.ExitCode(), string(out)
 	}
-	return string(out)
+	return 0, string(out)
 }
 
 // eventually polls until ok.
--- a/test/process/system_test.go
+++ b/test/process/system_test.go
@@ -146,20 +146,26 @@
 
 // applyTables puts the routes and pools in force on every instance.
 func (s *system) applyTables() {
+	s.t.Helper()
+	routes, pools := s.tableFiles("first", 0, "500ms")
+	run(s.t, "apply", "--platform", s.platform, "--reason", "first tables", "--wait", longest.String(), "--routes", routes, "--pools", pools)
+}
+
+// tableFiles writes an edit of a version; ttl is the look-up answers' time to live.
+func (s *system) tableFiles(name string, version int, ttl string) (routesFile, poolsFile string) {
 	s.t.Helper()
 	var routes, pools strings.Builder
-	routes.WriteString("version: 0\nroutes:\n")
-	pools.WriteString("version: 0\nregions: [{name: osrednja}]\npools:\n")
+	fmt.Fprintf(&routes, "version: %d\nroutes:\n", version)
+	fmt.Fprintf(&pools, "version: %d\nregions: [{name: osrednja}]\npools:\n", version)
 	for j, w := range workloads {
-		fmt.Fprintf(&routes, "  - {name: %[1]s, path_prefix: /%[1]s, pools: [{pool: %[1]s, weight: 1}], timeout: 20s, queue_timeout: 2s, lookup_ttl: 500ms}\n", w.name)
+		fmt.Fprintf(&routes, "  - {name: %[1]s, path_prefix: /%[1]s, pools: [{pool: %[1]s, weight: 1}], timeout: 20s, queue_timeout: 2s, lookup_ttl: %[2]s}\n", w.name, ttl)
 		fmt.Fprintf(&pools, "  - {name: %s, region: osrednja, shift_cap: 1, targets: [", w.name)
 		for i, m := range s.targets {
 			fmt.Fprintf(&pools, "{name: %s-%d, address: '%s', zone: %s, slots: %d}, ", w.name, i, m.addrs[j], m.zone, w.slots)
 		}
 		pools.WriteString("]}\n")
 	}
-	run(s.t, "apply", "--platform", s.platform, "--reason", "first tables", "--wait", longest.String(),
-		"--routes", s.write("routes.yaml", routes.String()), "--pools", s.write("pools.yaml", pools.String()))
+	return s.write(name+"-routes.yaml", routes.String()), s.write(name+"-pools.yaml", pools.String())
 }
 
 // fault switches faults of the platform.
@@ -175,8 +181,14 @@
 	send(s.t, http.MethodPost, url, "", http.StatusNoContent)
 }
 
+// normalRate is the usual load in requests a second.
+const normalRate = 120
+
 // load starts load of all four workloads for some seconds.
-func (s *system) load(name string, seconds int) *process {
+func (s *system) load(name string, seconds int) *process { return s.loadAt(name, seconds, normalRate) }
+
+// loadAt starts load at a rate in requests a second.
+func (s *system) loadAt(name string, seconds, rate int) *process {
 	s.t.Helper()
 	var entries, logs, mix []string
 	for i := range zones {
@@ -186,8 +198,8 @@
 	for _, w := range workloads {
 		mix = append(mix, fmt.Sprintf("  - {route: %s, path: /%s/x, deadline: 8s, %s}", w.name, w.name, w.kind))
 	}
-	file := s.write(name+".yaml", fmt.Sprintf("entries: [%s]\nrun_logs: [%s]\nrate: 120\nduration: %ds\nmix:\n%s\nmembers: [{name: a}, {name: b}]\n",
-		strings.Join(entries, ", "), strings.Join(logs, ", "), seconds, strings.Join(mix, "\n")))
+	file := s.write(name+".yaml", fmt.Sprintf("entries: [%s]\nrun_logs: [%s]\nrate: %d\nduration: %ds\nmix:\n%s\nmembers: [{name: a}, {name: b}]\n",
+		strings.Join(entries, ", "), strings.Join(logs, ", "), rate, seconds, strings.Join(mix, "\n")))
 	return start(s.t, s.dir, name, "jacinthramp", "load", "--config", file, "--output", "json")
 }
 
