--- a/pkg/node/dispatch.go
+++ b/pkg/node/answer.go
@@ -10,7 +10,6 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
-	"github.com/jacinthramp/jacinthramp/pkg/peer/hop"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/target"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
@@ -20,15 +19,7 @@
 // is passed on, so that a failure within it can still be answered.
 const wholeAnswerBytes = 32 << 10
 
-// pickHop returns an instance of zone at random, or nil.
-func (x *exchange) pickHop(zone string) *hop.Client {
-	cs := x.view.hops[zone]
-	if len(cs) == 0 {
-		return nil
-	}
-	return cs[x.node.random(len(cs))]
-}
-
+// headOf returns the header of a.
 func headOf(a *upstream.Answer) caller.Head {
 	return caller.Head{Status: a.StatusCode, Header: a.Header, Trailer: a.Trailer, Length: a.ContentLength}
 }
@@ -75,11 +66,7 @@
 func (x *exchange) pass(ctx context.Context, a *upstream.Answer, head caller.Head, first firstPart, skip func(string) bool) fault.Kind {
 	x.closeUnread()
 	x.relay.Final(head, skip)
-	var body io.Reader = a.Body
-	if len(first.data) > 0 {
-		body = io.MultiReader(bytes.NewReader(first.data), a.Body)
-	}
-	errRead, errWrite := x.relay.Body(body, head)
+	errRead, errWrite := x.passBody(a, head, first)
 	switch {
 	case errWrite != nil:
 		x.broken = true
@@ -91,6 +78,17 @@
 	return fault.KindNone
 }
 
+// passBody writes the body of an answer of which first has been read.
+func (x *exchange) passBody(a *upstream.Answer, head caller.Head, first firstPart) (errRead, errWrite error) {
+	switch {
+	case first.whole:
+		return nil, x.relay.Whole(first.data, head)
+	case len(first.data) > 0:
+		return x.relay.Body(io.MultiReader(bytes.NewReader(first.data), a.Body), head)
+	}
+	return x.relay.Body(a.Body, head)
+}
+
 // isOwnField reports whether field belongs to the system.
 func isOwnField(field string) bool { return strings.HasPrefix(field, "Jacinthramp-") }
 
