Measure what a zone of idle instances uses

Cause: heartbeats, probes and reads of the store were not in the capacity page, and the reads were computed from an assumed interval.

The number of reads a poll is dropped for the measured reads.

--- a/pkg/capacity/roles.go
+++ b/pkg/capacity/roles.go
@@ -53,6 +53,7 @@
 // slopes file.
 var needs = []need{
 	{roleEvery, "processor, idle", "cores", nanosecond, []term{{slope: "idle_ns_per_s", driver: "targets"}}, core, "ticks, probes of the zone's targets, reads of the store"},
+	{roleEvery, "bytes, all control traffic when idle", "B/s", 1, []term{{slope: "control_bytes_per_s", driver: "zone_daemons"}}, control, "heartbeats, probes, summaries, reads of the store"},
 	{roleEvery, "memory, process with the tables", "B", 1, []term{{slope: "process_rss_bytes", driver: "targets"}}, memory, "one immutable snapshot of the tables"},
 	{roleLookup, "processor, matching client blocks", "cores", nanosecond, []term{{slope: "block_lookup_ns", driver: "lookups_per_daemon"}}, core, "sorted prefixes in pages, searched through samples"},
 	{roleLookup, "processor, HTTP look-ups", "cores", nanosecond, []term{{slope: "http_lookup_ns", driver: "lookups_per_daemon"}}, core, "answers from one immutable snapshot"},
@@ -67,9 +68,9 @@
 	{roleWatcher, "processor, if each version were read whole", "cores", nanosecond, []term{{slope: "tables_load_ns", driver: "target_loads_per_second", noIntercept: true}}, core, mechanismFallback},
 	{roleWatcher, "bytes, telling the zone", "B/s", 1, []term{{slope: "propagation_bytes_per_s", driver: "zone_daemons"}}, control, "digests, then content to those that lack it"},
 	{roleWatcher, "time from acceptance to in force", "s", 1, []term{{slope: "in_force_seconds", driver: "zone_daemons"}}, inForce, "watchers by rendezvous hash in each zone"},
-	{roleHolder, "bytes, heartbeats and transfers", "B/s", 1, []term{{slope: "heartbeat_bytes_per_s", driver: "zone_daemons"}}, control, "shares by target and region"},
+	{roleHolder, "bytes, transfers of shares under load", "B/s", 1, []term{{slope: "transfer_bytes_per_s", driver: "zone_daemons"}}, control, "shares by target and region"},
 	{roleSummariser, "bytes, summaries of the sites", "B/s", 1, []term{{slope: "summary_bytes_per_s", driver: "sites"}}, control, "deltas between zones"},
-	{roleTables, "reads, watchers", "reads/s", 1, []term{{slope: "head_poll_reads", driver: "polls_per_second"}}, reads, "a few watchers in each zone"},
+	{roleTables, "reads, idle", "reads/s", 1, []term{{slope: "zone_reads_per_s", driver: "zones"}}, reads, "a few watchers in each zone"},
 	{roleTables, "writes, accepted edits", "writes/s", 1, []term{{slope: "edit_writes", driver: "changes_per_second", noIntercept: true}}, writes, "two transactions an edit"},
 	{roleTables, "writes, share ledger", "writes/s", 1, []term{{slope: "ledger_writes_per_s", driver: "zones"}}, writes, "one row for each zone"},
 	{roleTables, "writes, churn of instances", "writes/s", 1, []term{{slope: "churn_writes", driver: "churn_per_second", noIntercept: true}}, writes, "registration, and reclaim of shares"},
--- a/pkg/capacity/size.go
+++ b/pkg/capacity/size.go
@@ -140,7 +140,6 @@
 	d.derive("block_changes_per_second", product, "changes_per_second", "blocks_per_change")
 	d.derive("churn_per_second", func(v []float64) float64 { return (v[0] + v[1]) / secondsPerDay }, "failures_per_day", "replacements_per_day")
 	d.derive("watchers", product, "zones", "watchers_per_zone")
-	d.derive("polls_per_second", quotient, "watchers", "poll_seconds")
 	d.derive("polls_per_watcher", func(v []float64) float64 { return 1 / v[0] }, "poll_seconds")
 	d.derive("target_loads_per_second", product, "targets", "changes_per_second")
 	d.derive("watcher_loads_per_second", product, "watchers", "changes_per_second")
