--- a/pkg/cluster/measure_test.go
+++ b/pkg/cluster/measure_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,9 +13,24 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
-// measure runs the sizes that the documentation holds; see
-// docs/measurements.d/shared.md.
-var measure = flag.Bool("measure", false, "measure at all sizes")
+// measure sets the sizes to run; see docs/measurements.d/shared.md.
+var measure = flag.String("measure", "", "numbers of instances to measure at, such as 11,50,100,200,300")
+
+// measuredSizes returns the sizes asked for, or the smallest.
+func measuredSizes(t *testing.T) []int {
+	if *measure == "" {
+		return []int{11}
+	}
+	var sizes []int
+	for _, s := range strings.Split(*measure, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes
+}
 
 const measuredZones = 6
 
@@ -61,11 +78,11 @@
 }
 
 func TestTimeToInForce(t *testing.T) {
-	sizes, losses, edits := []int{11}, []int{20}, 5
-	if *measure {
-		sizes, losses, edits = []int{11, 50, 100, 200, 300}, []int{0, 5, 20}, 12
+	losses, edits := []int{20}, 5
+	if *measure != "" {
+		losses, edits = []int{0, 5, 20}, 12
 	}
-	for _, n := range sizes {
+	for _, n := range measuredSizes(t) {
 		for _, loss := range losses {
 			synctest.Test(t, func(t *testing.T) {
 				b := settled(t, uint64(n+loss), n, measuredZones, float64(loss)/100)
@@ -93,12 +110,8 @@
 }
 
 func TestTimeToInForceOverAnOutage(t *testing.T) {
-	sizes := []int{11}
-	if *measure {
-		sizes = []int{11, 100, 300}
-	}
 	const outage = 10 * time.Second
-	for _, n := range sizes {
+	for _, n := range measuredSizes(t) {
 		for _, head := range []time.Duration{150 * time.Millisecond, 0} {
 			synctest.Test(t, func(t *testing.T) {
 				b := settled(t, uint64(n), n, measuredZones, 0.05)
@@ -120,12 +133,8 @@
 }
 
 func TestUseOfStoreAndNetwork(t *testing.T) {
-	sizes := []int{11}
-	if *measure {
-		sizes = []int{11, 50, 100, 200, 300}
-	}
 	const span = 30 * time.Second
-	for _, n := range sizes {
+	for _, n := range measuredSizes(t) {
 		synctest.Test(t, func(t *testing.T) {
 			b := settled(t, uint64(n), n, measuredZones, 0)
 			defer b.stop()
