Let a holder go on when its witness has ended

Cause: in a zone of two, an outage of the store and the end of one instance left the other 10 s, since its only witness could promise no more.

Weighed: counting any ended witness as a promise (it may have consented to the reclaim before it ended: the test shows both in use); waiting for the row to forget it (needs the store). Chosen: an end that is seen while the lease or the witness's last promise still runs, since consent is asked only after the one and given only after the other. A reclaimer in turn takes a witness that is gone from the row for consenting only after the long lease.

--- a/pkg/cluster/cluster_test.go
+++ b/pkg/cluster/cluster_test.go
@@ -178,3 +178,37 @@
 		t.Logf("serving %v after the platform came back", took)
 	})
 }
+
+func TestTheOtherOfTwoGoesOnWhenOneEndsInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(9)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		startAll(b, 2, 1)
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		time.Sleep(5 * time.Second)
+		b.store.down.Store(true)
+		time.Sleep(20 * time.Second)
+		b.kill(b.nodes[0])
+		for i := range 60 {
+			time.Sleep(time.Second)
+			if got := b.usable("feedlog-0"); got != 2 {
+				t.Fatalf("usable shares are %d of its 2 after %d s", got, i)
+			}
+		}
+	})
+}
+
+func TestALoneInstancesSuccessorGetsItsShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(10)
+		defer b.stop()
+		b.store.accept(testTables(1, 1))
+		n := b.start("instance-0", zoneName(0, 1))
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		b.kill(n)
+		b.start("instance-0", zoneName(0, 1))
+		took := until(t, 8*time.Second, "shares at the successor", func() bool { return b.usable("feedlog-0") == 4 })
+		t.Logf("shares at the successor after %v", took)
+	})
+}
--- a/pkg/cluster/shares.go
+++ b/pkg/cluster/shares.go
@@ -80,13 +80,16 @@
 	asked := time.Now()
 	r := &instance.AgreeReply{}
 	err := c.call(ctx, to, instance.MethodPromise, &instance.PromiseRequest{Promise: p}, r)
-	if err != nil || !r.Agreed {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Promised(asked, p)
-	c.publish(time.Now())
+	now := time.Now()
+	switch {
+	case instance.IsRefused(err):
+		c.ledger.WitnessEnded(now, p.Witness)
+	case err == nil && r.Agreed:
+		c.ledger.Promised(asked, p)
+	}
+	c.publish(now)
 }
 
 // measureUse tells the ledger what is in use. The caller holds mu.
--- a/pkg/decision/allowance/ledger.go
+++ b/pkg/decision/allowance/ledger.go
@@ -30,6 +30,7 @@
 	recorded  uint64    // the newest heartbeat known to be recorded
 	renewedAt time.Time // when that heartbeat was sent
 	promised  map[Key]time.Time
+	ended     map[Key]bool // witnesses that ended without a consent
 	leaving   bool
 
 	inUse    Counts
@@ -45,6 +46,7 @@
 		self: self, addr: addr, timing: timing, rules: rules,
 		row:      &Row{},
 		promised: map[Key]time.Time{},
+		ended:    map[Key]bool{},
 		inUse:    Counts{},
 		usedAt:   map[Limit]time.Time{},
 		lent:     map[Key]map[Limit]lending{},
@@ -138,7 +140,7 @@
 	g.own = r.Holder(g.self)
 	if g.own == nil {
 		g.renewedAt = time.Time{}
-		g.promised = map[Key]time.Time{}
+		g.promised, g.ended = map[Key]time.Time{}, map[Key]bool{}
 		return
 	}
 	g.forgetWitnesses()
@@ -182,13 +184,16 @@
 
 // forgetWitnesses drops the promises of those that are no witnesses any more.
 func (g *Ledger) forgetWitnesses() {
-	kept := map[Key]time.Time{}
+	kept, ended := map[Key]time.Time{}, map[Key]bool{}
 	for _, w := range g.own.Witnesses {
 		if at, ok := g.promised[w]; ok {
 			kept[w] = at
 		}
+		if g.ended[w] {
+			ended[w] = true
+		}
 	}
-	g.promised = kept
+	g.promised, g.ended = kept, ended
 }
 
 // Promise is what a holder asks of a witness: not to consent to the reclaim
@@ -235,6 +240,16 @@
 	return now.Sub(g.renewedAt) >= g.timing.Lease/2
 }
 
+// WitnessEnded takes in that the process of witness w is known to have ended.
+// When it ended before it may have consented to a reclaim, it never will, which
+// is as good as a promise. A reclaimer asks for consent only after the lease,
+// and a witness gives it only after its promise.
+func (g *Ledger) WitnessEnded(now time.Time, w Key) {
+	if now.Before(later(g.renewedAt, g.promised[w]).Add(g.timing.Lease)) || g.rules.TrustAnyEndedWitness {
+		g.ended[w] = true
+	}
+}
+
 // Expires returns when this holder's right to its grants ends.
 func (g *Ledger) Expires() time.Time {
 	if g.own == nil || g.renewedAt.IsZero() {
@@ -249,7 +264,11 @@
 	}
 	newest, oldest := g.promiseTimes()
 	expires := g.renewedAt.Add(g.timing.Lease)
-	if some := earlier(newest.Add(g.timing.Lease), long); some.After(expires) {
+	some := newest.Add(g.timing.Lease)
+	if g.hasEndedWitness() {
+		some = long
+	}
+	if some = earlier(some, long); some.After(expires) {
 		expires = some
 	}
 	if all := oldest.Add(g.timing.Lease); all.After(expires) {
@@ -258,6 +277,15 @@
 	return expires
 }
 
+func (g *Ledger) hasEndedWitness() bool {
+	for _, w := range g.own.Witnesses {
+		if g.ended[w] {
+			return true
+		}
+	}
+	return false
+}
+
 // promiseTimes returns when the newest promise of any witness and the oldest
 // among all witnesses were asked for.
 func (g *Ledger) promiseTimes() (newest, oldest time.Time) {
--- a/pkg/decision/allowance/ledger_test.go
+++ b/pkg/decision/allowance/ledger_test.go
@@ -204,3 +204,30 @@
 		}
 	})
 }
+
+// consentThenEnd reports whether a holder still uses its shares after its only
+// witness consented to their reclaim and ended.
+func consentThenEnd(rules Rules) bool {
+	p := newPair(rules)
+	p.write(p.a.Heartbeat(p.now), p.b.Heartbeat(p.now))
+	p.a.ObserveRow(p.now, p.row)
+	p.now = p.now.Add(15 * time.Second)
+	p.a.WitnessEnded(p.now, keyB)
+	return p.now.Before(p.a.Shares(p.now).Expires)
+}
+
+func TestAnEndedWitnessIsTrustedOnlyBeforeItMayHaveConsented(t *testing.T) {
+	if consentThenEnd(Rules{}) {
+		t.Error("a holder relies on a witness that may have consented")
+	}
+	if !consentThenEnd(Rules{TrustAnyEndedWitness: true}) {
+		t.Error("the broken rule was not caught")
+	}
+	p := newPair(Rules{})
+	p.write(p.a.Heartbeat(p.now), p.b.Heartbeat(p.now))
+	p.a.ObserveRow(p.now, p.row)
+	p.a.WitnessEnded(p.now.Add(6*time.Second), keyB)
+	if got, want := p.a.Expires(), p.now.Add(worldTiming().LongLease); got != want {
+		t.Errorf("the lease ends at %v, not %v", got, want)
+	}
+}
--- a/pkg/decision/allowance/reclaim.go
+++ b/pkg/decision/allowance/reclaim.go
@@ -137,7 +137,7 @@
 	if c.lapsed(now, s, c.timing.LongLease+c.timing.Settle) {
 		return c.unanimityBroken(now, h, s)
 	}
-	return c.allConsent(now, h, s)
+	return c.allConsent(h, s)
 }
 
 // afterDeath returns how long the shares of an ended process stay out of use:
@@ -149,14 +149,15 @@
 	return max(c.timing.DeadSettle, c.timing.stretched(c.timing.Loan))
 }
 
-// allConsent reports whether no witness may extend the lease any more.
-func (c *Reclaimer) allConsent(now time.Time, h *Holder, s *silence) bool {
+// allConsent reports whether all witnesses agreed. One that is gone from the
+// row did not: the holder may know that it ended, and rely on its silence.
+func (c *Reclaimer) allConsent(h *Holder, s *silence) bool {
 	for _, set := range h.witnessSets() {
 		if len(set) == 0 {
 			return false
 		}
 		for _, w := range set {
-			if !c.consents(now, w, s) {
+			if !s.consent[w] {
 				return false
 			}
 		}
--- a/pkg/decision/allowance/timing.go
+++ b/pkg/decision/allowance/timing.go
@@ -60,6 +60,8 @@
 	IgnoreCeilings bool
 	// ForgetLoansOfTheDead reclaims from an ended process before its loans end.
 	ForgetLoansOfTheDead bool
+	// TrustAnyEndedWitness relies on an ended witness that may have consented.
+	TrustAnyEndedWitness bool
 	// ReclaimWithoutConsent reclaims after the lease alone.
 	ReclaimWithoutConsent bool
 }
--- a/pkg/decision/allowance/world_test.go
+++ b/pkg/decision/allowance/world_test.go
@@ -322,6 +322,10 @@
 func (w *world) promises(p *process, now time.Time) {
 	for _, ask := range p.ledger.Promises(now) {
 		to := w.find(ask.Witness)
+		if to.dead {
+			p.ledger.WitnessEnded(now, ask.Witness)
+			p.publish(now)
+		}
 		w.send(p, to, func() {
 			if to.witness.Promise(w.clock(to), to.ledger.Expires(), ask) {
 				w.send(to, p, func() { p.ledger.Promised(now, ask) })
