Move the measuring of slopes out of the tests

Weighed: one command for all measurements. Seven of them measure whole instances, and a process of the project may start no other; only a test may. Running the instances inside the command was ruled out, since their memory, processor time and bytes would be those of the command as well. So the measurements take a Starter: the command has none and refuses those seven with the command that measures them; the test has one.

--- a/cmd/jacinthramp/commands.go
+++ b/cmd/jacinthramp/commands.go
@@ -18,5 +18,6 @@
 		watchCommand(),
 		explainCommand(),
 		capacityCommand(),
+		slopesCommand(),
 	}
 }
--- a/test/slopes/blocks_test.go
+++ b/pkg/slopes/blocks.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"runtime"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/capacity"
@@ -49,29 +48,17 @@
 	}
 }
 
-func build(t *testing.T, v4, v6 int) *block.Table {
-	tb, err := block.Build(siteNames, rows(v4, v6))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return tb
-}
+func build(v4, v6 int) (*block.Table, error) { return block.Build(siteNames, rows(v4, v6)) }
 
 // letterTable is the table at the letter's size.
-var letterTable = sync.OnceValue(func() *block.Table {
-	tb, err := block.Build(siteNames, rows(letterBlocks-letterV6, letterV6))
-	if err != nil {
-		panic(err)
-	}
-	return tb
-})
+var letterTable = sync.OnceValues(func() (*block.Table, error) { return build(letterBlocks-letterV6, letterV6) })
 
 // tableFor returns the letter's table, or a small one.
-func tableFor(t *testing.T, full bool) *block.Table {
-	if full {
+func tableFor(r *run) (*block.Table, error) {
+	if r.full {
 		return letterTable()
 	}
-	return build(t, 3000, 1000)
+	return build(3000, 1000)
 }
 
 func liveHeap() float64 {
@@ -83,67 +70,76 @@
 }
 
 // blockBytes fits the live heap over the number of blocks.
-func blockBytes(t *testing.T, full bool, build func(n int) *block.Table) capacity.Line {
+func blockBytes(r *run, build func(n int) (*block.Table, error)) (capacity.Line, error) {
 	sizes := []float64{25_000, 50_000, 100_000}
-	if full {
+	if r.full {
 		sizes = []float64{250_000, 500_000, 1_000_000}
 	}
 	var points []capacity.Point
 	for _, n := range sizes {
 		before := liveHeap()
-		tb := build(int(n))
+		tb, err := build(int(n))
+		if err != nil {
+			return capacity.Line{}, err
+		}
 		points = append(points, capacity.Point{X: n, Y: liveHeap() - before})
 		runtime.KeepAlive(tb)
 	}
-	return capacity.Fit(points)
+	return capacity.Fit(points), nil
 }
 
-func blockBytesV4(t *testing.T, full bool) capacity.Line {
-	return blockBytes(t, full, func(n int) *block.Table { return build(t, n, 0) })
+func blockBytesV4(r *run) (capacity.Line, error) {
+	return blockBytes(r, func(n int) (*block.Table, error) { return build(n, 0) })
 }
 
-func blockBytesV6(t *testing.T, full bool) capacity.Line {
-	return blockBytes(t, full, func(n int) *block.Table { return build(t, 0, n) })
+func blockBytesV6(r *run) (capacity.Line, error) {
+	return blockBytes(r, func(n int) (*block.Table, error) { return build(0, n) })
 }
 
-func blockLookup(t *testing.T, full bool) capacity.Line {
-	tb := tableFor(t, full)
-	r := rand.New(rand.NewPCG(1, 1))
+func blockLookup(r *run) (capacity.Line, error) {
+	tb, err := tableFor(r)
+	if err != nil {
+		return capacity.Line{}, err
+	}
+	random := rand.New(rand.NewPCG(1, 1))
 	addrs := make([]netip.Addr, 1<<16)
 	for i := range addrs {
-		addrs[i] = addr4(r.IntN(letterBlocks), letterBlocks)
-		if r.IntN(4) == 0 {
-			addrs[i] = addr6(r.IntN(letterV6))
+		addrs[i] = addr4(random.IntN(letterBlocks), letterBlocks)
+		if random.IntN(4) == 0 {
+			addrs[i] = addr6(random.IntN(letterV6))
 		}
 	}
 	n := 1 << 16
-	if full {
+	if r.full {
 		n = 1 << 21
 	}
 	start := time.Now()
 	for i := range n {
 		tb.Lookup(addrs[i&(len(addrs)-1)])
 	}
-	return capacity.Line{Slope: float64(time.Since(start).Nanoseconds()) / float64(n)}
+	return capacity.Line{Slope: float64(time.Since(start).Nanoseconds()) / float64(n)}, nil
 }
 
-func blockDelta(t *testing.T, full bool) capacity.Line {
-	tb := tableFor(t, full)
+func blockDelta(r *run) (capacity.Line, error) {
+	tb, err := tableFor(r)
+	if err != nil {
+		return capacity.Line{}, err
+	}
 	const deltas = 20
-	r := rand.New(rand.NewPCG(2, 2))
+	random := rand.New(rand.NewPCG(2, 2))
 	start := time.Now()
 	for range deltas {
 		var d block.Delta
-		first := r.IntN(1000)
+		first := random.IntN(1000)
 		for i := range deltaBlocks {
 			p := netip.PrefixFrom(addr4(first+i*1000, letterBlocks), 28).Masked()
 			d.Set = append(d.Set, block.Row{Prefix: p.String(), Site: siteNames[i%4]})
 		}
 		next, err := tb.Apply(d)
 		if err != nil {
-			t.Fatal(err)
+			return capacity.Line{}, err
 		}
 		tb = next
 	}
-	return capacity.Line{Slope: float64(time.Since(start).Nanoseconds()) / (deltas * deltaBlocks)}
+	return capacity.Line{Slope: float64(time.Since(start).Nanoseconds()) / (deltas * deltaBlocks)}, nil
 }
--- /dev/null
+++ b/pkg/slopes/file.go
@@ -0,0 +1,39 @@
+package slopes
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+
+	"github.com/jacinthramp/jacinthramp/pkg/capacity"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// ReadFile reads the slopes file that is to be brought up to date. Without a
+// name, or when there is no such file, there are no slopes yet. Error:
+// fault.KindInvalidSettings.
+func ReadFile(name string) (capacity.Slopes, error) {
+	if name == "" {
+		return capacity.Slopes{}, nil
+	}
+	data, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return capacity.Slopes{}, nil
+	}
+	if err != nil {
+		return nil, fault.Wrap(fault.KindInvalidSettings, err, "the slopes can't be read")
+	}
+	return capacity.ParseSlopes(name, data)
+}
+
+// WriteFile writes the slopes file. Error: fault.KindInvalidSettings.
+func WriteFile(name string, s capacity.Slopes) error {
+	data, err := s.Format()
+	if err == nil {
+		err = os.WriteFile(name, data, 0o644)
+	}
+	if err != nil {
+		return fault.Wrap(fault.KindInvalidSettings, err, "the slopes can't be written")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/slopes/instance.go
@@ -0,0 +1,186 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// letterZones is the number of zones that the targets are spread over.
+const letterZones = 79
+
+// Starter starts an instance as a process of its own, with the given settings.
+type Starter func(settings string) (Process, error)
+
+// Process is a started instance.
+type Process interface {
+	// PID is the number of the process.
+	PID() int
+	// Exited is closed when the process has ended.
+	Exited() <-chan struct{}
+	// Stop kills the process and waits for its end: what it leaves behind is
+	// not measured.
+	Stop()
+}
+
+// instance is a running jacinthrampd with tables in force.
+type instance struct {
+	process Process
+	caller  string
+	admin   string
+}
+
+// spread gives the targets of tb zones of the letter's number; those of the
+// instance's own zone are served.
+func spread(r *run, tb *table.Tables) error {
+	i := 0
+	for p := range tb.Pools {
+		for j := range tb.Pools[p].Targets {
+			tg := &tb.Pools[p].Targets[j]
+			tg.Zone = fmt.Sprintf("zone-%d", i%letterZones)
+			if i%letterZones == 0 {
+				address, err := r.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+				if err != nil {
+					return err
+				}
+				tg.Address = address
+			}
+			i++
+		}
+	}
+	return nil
+}
+
+// startPlatform serves a platform on loopback with tables of n targets.
+func startPlatform(r *run, n int) (store *standin.Store, url string, err error) {
+	store = standin.New(time.Now)
+	tb := tables(n)
+	if err := spread(r, tb); err != nil {
+		return nil, "", err
+	}
+	if _, err := tablestore.Accept(r.ctx, store, store, tablestore.Edit{ID: "e", Tables: tb}); err != nil {
+		return nil, "", err
+	}
+	address, err := r.serve(standin.Handler(store))
+	return store, "http://" + address, err
+}
+
+// startInstance starts an instance alone in its zone, with tables of n targets.
+func startInstance(r *run, n int) (*instance, error) {
+	_, url, err := startPlatform(r, n)
+	if err != nil {
+		return nil, err
+	}
+	return startAt(r, url, 1)
+}
+
+// startAt starts the i-th instance of zone-0. Its addresses are free when they
+// are chosen; when another process takes one first, others are chosen.
+func startAt(r *run, url string, i int) (in *instance, err error) {
+	const tries = 3
+	for range tries {
+		if in, err = tryStart(r, url, i); err == nil {
+			return in, nil
+		}
+	}
+	return nil, err
+}
+
+// tryStart starts an instance and waits until it is ready.
+func tryStart(r *run, url string, i int) (*instance, error) {
+	var addresses [4]string
+	for j := range addresses {
+		var err error
+		if addresses[j], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	in := &instance{caller: addresses[0], admin: addresses[3]}
+	settings := fmt.Sprintf("instance: {id: i-%d, zone: zone-0, region: osrednja}\nlisten: {caller: %q, hop: %q, peer: %q, admin: %q}\nplatform: {url: %q}\n",
+		i, addresses[0], addresses[1], addresses[2], addresses[3], url)
+	var err error
+	if in.process, err = r.starter(settings); err != nil {
+		return nil, err
+	}
+	if err := in.ready(r); err != nil {
+		in.process.Stop()
+		return nil, err
+	}
+	return in, nil
+}
+
+// ready waits until the tables are in force. It returns an error when the
+// process ends, or for too long a wait.
+func (in *instance) ready(r *run) error {
+	const tries = 600
+	for range tries {
+		select {
+		case <-in.process.Exited():
+			return fault.New(fault.KindNotReady, "the instance ended before it was ready")
+		default:
+		}
+		if resp, err := http.Get("http://" + in.admin + wire.PathReady); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if err := r.pause(50 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return fault.New(fault.KindNotReady, "the instance did not become ready")
+}
+
+// cpu returns the nanoseconds of processor time that the process has used.
+func (in *instance) cpu() (float64, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", in.process.PID()))
+	if err != nil || len(files) == 0 {
+		return 0, fault.New(fault.KindInvariantBroken, "no processor time to read: %v", err)
+	}
+	sum := 0.0
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			continue
+		}
+		ns, err := strconv.ParseFloat(strings.Fields(string(data))[0], 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += ns
+	}
+	return sum, nil
+}
+
+// residentBytes returns the resident size of the process.
+func (in *instance) residentBytes() (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", in.process.PID()))
+	if err != nil {
+		return 0, err
+	}
+	pages, err := strconv.ParseFloat(strings.Fields(string(data))[1], 64)
+	return pages * float64(os.Getpagesize()), err
+}
+
+// freeAddress returns an address of loopback that is free now.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", fault.Wrap(fault.KindNotReady, err, "no port of loopback")
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/pkg/slopes/learn.go
@@ -0,0 +1,156 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/capacity"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// overHTTP serves the store and returns a client whose bytes are counted.
+func overHTTP(r *run, store *standin.Store) (*platform.Client, *atomic.Int64, error) {
+	address, err := r.serve(standin.Handler(store))
+	if err != nil {
+		return nil, nil, err
+	}
+	bytes := &atomic.Int64{}
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{conn, bytes}, err
+	}}
+	client := platform.NewClient("http://"+address, transport)
+	r.atEnd(client.Close)
+	return client, bytes, nil
+}
+
+// accept makes tables of n targets, one of them changed, the next version.
+func accept(r *run, store *standin.Store, n, version int) error {
+	tb := tables(n)
+	tb.Version = uint64(version)
+	tb.Pools[0].Targets[0].Slots = 4 + version
+	e := tablestore.Edit{ID: fmt.Sprint(version), Author: "an operator", Reason: "more slots", Tables: tb}
+	_, err := tablestore.Accept(r.ctx, store, store, e)
+	return err
+}
+
+func pollBytes(r *run) (capacity.Line, error) {
+	store := standin.New(time.Now)
+	if err := accept(r, store, 32, 0); err != nil {
+		return capacity.Line{}, err
+	}
+	client, bytes, err := overHTTP(r, store)
+	if err != nil {
+		return capacity.Line{}, err
+	}
+	_, etag, _, err := tablestore.ReadHead(r.ctx, client, "")
+	if err != nil {
+		return capacity.Line{}, err
+	}
+	bytes.Store(0)
+	const polls = 10
+	for range polls {
+		_, _, changed, err := tablestore.ReadHead(r.ctx, client, etag)
+		if err != nil {
+			return capacity.Line{}, err
+		}
+		if changed {
+			return capacity.Line{}, fault.New(fault.KindInvariantBroken, "the head changed without an edit")
+		}
+	}
+	return capacity.Line{Slope: float64(bytes.Load()) / polls}, nil
+}
+
+// learnEdits has a loader follow edits of one target over HTTP, and returns
+// the mean bytes and nanoseconds of an edit.
+func learnEdits(r *run, targets int) (bytesPerEdit, ns float64, err error) {
+	store := standin.New(time.Now)
+	if err := accept(r, store, targets, 0); err != nil {
+		return 0, 0, err
+	}
+	client, bytes, err := overHTTP(r, store)
+	if err != nil {
+		return 0, 0, err
+	}
+	f := &follower{tables: client, loader: tablestore.NewLoader(client)}
+	if _, err := f.follow(r.ctx); err != nil {
+		return 0, 0, err
+	}
+	var took time.Duration
+	bytes.Store(0)
+	const edits = 5
+	for v := range edits {
+		if err := accept(r, store, targets, v+1); err != nil {
+			return 0, 0, err
+		}
+		loading, err := f.follow(r.ctx)
+		if err != nil {
+			return 0, 0, err
+		}
+		took += loading
+		if len(f.loader.Last().Patch) == 0 {
+			return 0, 0, fault.New(fault.KindInvariantBroken, "the content was read whole")
+		}
+	}
+	return float64(bytes.Load()) / edits, float64(took.Nanoseconds()) / edits, nil
+}
+
+// follower learns the versions of a platform.
+type follower struct {
+	tables platform.Tables
+	loader *tablestore.Loader
+	etag   string
+}
+
+// follow learns the newest version, and returns the time of its loading.
+func (f *follower) follow(ctx context.Context) (time.Duration, error) {
+	head, etag, _, err := tablestore.ReadHead(ctx, f.tables, f.etag)
+	if err != nil {
+		return 0, err
+	}
+	f.etag = etag
+	start := time.Now()
+	_, err = f.loader.Load(ctx, head)
+	return time.Since(start), err
+}
+
+func learnBytes(r *run) (capacity.Line, error) {
+	n := 64
+	if r.full {
+		n = 2000
+	}
+	bytes, _, err := learnEdits(r, n)
+	return capacity.Line{Slope: bytes}, err
+}
+
+func learnTime(r *run) (capacity.Line, error) {
+	return over(r.sizes(smallTargets, letterTargets), func(n int) (float64, error) {
+		_, ns, err := learnEdits(r, n)
+		return ns, err
+	})
+}
--- /dev/null
+++ b/pkg/slopes/run.go
@@ -0,0 +1,75 @@
+package slopes
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// run is one run of a measurement.
+type run struct {
+	ctx     context.Context
+	full    bool
+	starter Starter
+	zones   *zones
+	// ends are called in reverse order after the run.
+	ends []func()
+}
+
+// atEnd has f called after the run.
+func (r *run) atEnd(f func()) { r.ends = append(r.ends, f) }
+
+// close ends what the run has started.
+func (r *run) close() {
+	for i := len(r.ends) - 1; i >= 0; i-- {
+		r.ends[i]()
+	}
+	r.ends = nil
+}
+
+// headerTimeout bounds the headers of a request to a server of the run.
+const headerTimeout = 10 * time.Second
+
+// serve serves h on loopback until the end of the run, and returns its address.
+func (r *run) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", fault.Wrap(fault.KindInvariantBroken, err, "no port of loopback")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = server.Serve(ln) })
+	r.atEnd(func() {
+		_ = server.Close()
+		wg.Wait()
+	})
+	return ln.Addr().String(), nil
+}
+
+// anyPort lets the machine choose a free port of loopback.
+const anyPort = "127.0.0.1:0"
+
+// sizes returns the given sizes of the letter, or small ones.
+func (r *run) sizes(small, letter []float64) []float64 {
+	if r.full {
+		return letter
+	}
+	return small
+}
+
+// pause waits d or until the context ends.
+func (r *run) pause(d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-r.ctx.Done():
+		return r.ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/slopes/slopes.go
@@ -0,0 +1,182 @@
+// Package slopes measures how the needs of the roles grow with their drivers,
+// as lines that the capacity page is computed from.
+package slopes
+
+import (
+	"context"
+	"errors"
+	"sort"
+
+	"github.com/jacinthramp/jacinthramp/pkg/capacity"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+)
+
+// Options say what is measured and how.
+type Options struct {
+	// Only names the only slope to measure; empty means all that can be.
+	Only string
+	// Runs is how often each is measured; at least 1.
+	Runs int
+	// Note says under what conditions; it is added to each slope's note.
+	Note string
+	// Full asks for the sizes of the letter; otherwise small ones are measured,
+	// which show only that each quantity can be.
+	Full bool
+	// Starter starts instances. Nil leaves out what needs instances of their
+	// own process.
+	Starter Starter
+}
+
+// measurement is one slope and how it is measured.
+type measurement struct {
+	name string
+	unit string
+	// measure returns the slope and intercept of one run.
+	measure func(r *run) (capacity.Line, error)
+	// process says that it needs a Starter.
+	process bool
+	what    string
+}
+
+var measurements = []measurement{
+	{"block_lookup_ns", "ns a look-up", blockLookup, false, "2.3 million blocks, random callers, one thread"},
+	{"block_v4_bytes", "B a block", blockBytesV4, false, "live heap at 0.25, 0.5 and 1 million IPv4 blocks"},
+	{"block_v6_bytes", "B a block", blockBytesV6, false, "live heap at 0.25, 0.5 and 1 million IPv6 blocks"},
+	{"block_delta_ns", "ns a changed block", blockDelta, false, "deltas of 100 blocks on 2.3 million"},
+	{"tables_bytes", "B a target", tablesBytes, false, "content of the tables at 32 to 2,000 targets"},
+	{"tables_load_ns", "ns a target", tablesLoad, false, "hash, parse, validation and defaults at 32 to 2,000 targets"},
+	{"learn_edit_bytes", "B an edit", learnBytes, false, "changed head and patch over HTTP, both ways, an edit of one target of 2,000 in a pool of eight"},
+	{"learn_edit_ns", "ns a target", learnTime, false, "patch read over HTTP, applied, hashed and validated at 32 to 2,000 targets"},
+	{"edit_ns", "ns a target", editTime, false, "parse of both files, validation, difference, content at 32 to 2,000 targets"},
+	{"head_poll_bytes", "B a poll", pollBytes, false, "bytes both ways of a conditional read of the head over HTTP"},
+	{"control_bytes_per_s", "B/s a daemon of the zone", controlBytes, true, "bytes read and written by an idle jacinthrampd, 1 to 16 in its zone, 32 targets over 79 zones; flatter at 16 than the line"},
+	{"zone_reads_per_s", "reads/s a zone", zoneReads, true, "calls counted at the platform, 8 idle jacinthrampd of one zone"},
+	{"ledger_writes_per_s", "writes/s a zone", zoneWrites, true, "calls counted at the platform, 8 idle jacinthrampd of one zone"},
+	{"edit_writes", "writes an edit", editWrites, false, "transactions counted at the table service"},
+	{"load_object_reads", "reads a load", loadReads, false, "calls counted at the object store"},
+	{"process_rss_bytes", "B a target", processRSS, true, "resident size of an idle jacinthrampd, tables of 32 to 2,000 targets over 79 zones"},
+	{"idle_ns_per_s", "ns a second and target", idleCPU, true, "processor time of an idle jacinthrampd alone in its zone, tables of 32 to 2,000 targets over 79 zones"},
+	{"http_lookup_ns", "ns a look-up", lookupCPU, true, "processor time of jacinthrampd less idle, keep-alive connections"},
+	{"forward_ns", "ns a request", forwardCPU, true, "processor time of jacinthrampd less idle, GET of an empty answer, target in the same zone"},
+	{"decide_ns", "ns a decision", decideTime, false, "Decide and Done at 32 targets of one zone, one thread"},
+}
+
+// unmeasured lists the slopes that the needs name and nothing measures yet.
+var unmeasured = []capacity.Slope{
+	{Name: "propagation_bytes_per_s", Unit: "B/s a daemon of the zone"},
+	{Name: "in_force_seconds", Unit: "s a daemon of the zone"},
+	{Name: "transfer_bytes_per_s", Unit: "B/s a daemon of the zone"},
+	{Name: "summary_bytes_per_s", Unit: "B/s a site"},
+	{Name: "churn_writes", Unit: "writes a start or end of an instance"},
+}
+
+// Measure brings slopes up to date. Errors: fault.KindBadRequest when the
+// options name nothing that can be measured, fault.KindInvariantBroken when a figure
+// can't be used; the slopes that can be are then up to date all the same.
+func Measure(ctx context.Context, slopes capacity.Slopes, o Options) error {
+	chosen, err := choose(o)
+	if err != nil {
+		return err
+	}
+	var failed []error
+	shared := &zones{measured: map[int]use{}}
+	for _, m := range chosen {
+		s, err := measure(ctx, m, o, shared)
+		if err == nil && !plausible(s, o.Full) {
+			err = fault.New(fault.KindInvariantBroken, "slope %v through %v", s.Slope, s.Points)
+		}
+		if err != nil {
+			failed = append(failed, fault.Wrap(fault.KindInvariantBroken, err, "%s", m.name))
+			continue
+		}
+		slopes[m.name] = s
+	}
+	for _, u := range unmeasured {
+		if _, ok := slopes[u.Name]; !ok {
+			slopes[u.Name] = u
+		}
+	}
+	if len(failed) > 0 {
+		return fault.Wrap(fault.KindInvariantBroken, errors.Join(failed...), "%d of %d slopes were not measured", len(failed), len(chosen))
+	}
+	return nil
+}
+
+// choose lists the measurements that the options ask for.
+func choose(o Options) ([]measurement, error) {
+	if o.Runs < 1 {
+		return nil, fault.New(fault.KindBadRequest, "%d runs; at least 1 is accepted", o.Runs)
+	}
+	var chosen []measurement
+	for _, m := range measurements {
+		if o.Only != "" && o.Only != m.name {
+			continue
+		}
+		if !m.process || o.Starter != nil {
+			chosen = append(chosen, m)
+			continue
+		}
+		if o.Only != "" {
+			return nil, fault.New(fault.KindBadRequest, "%s needs instances of their own process, which this command does not start; use: %s", m.name, m.command())
+		}
+	}
+	if len(chosen) == 0 {
+		return nil, fault.New(fault.KindBadRequest, "the slope %q is unknown", o.Only)
+	}
+	return chosen, nil
+}
+
+// command repeats the measurement.
+func (m measurement) command() string {
+	if m.process {
+		return "go test -count=1 -run TestSlopes ./test/slopes -args -only " + m.name + " -write ../../docs/capacity/slopes.yaml"
+	}
+	return "go run ./cmd/jacinthramp slopes --only " + m.name + " --write docs/capacity/slopes.yaml"
+}
+
+// plausible reports whether s may be used. Small sizes lie too close together
+// for the sign of a line, and small times for a rate that is seconds apart:
+// there only the measured values count.
+func plausible(s capacity.Slope, full bool) bool {
+	if full {
+		return s.Slope > 0
+	}
+	for _, p := range s.Points {
+		if p.Y <= 0 {
+			return false
+		}
+	}
+	return len(s.Points) > 0 || s.Slope >= 0
+}
+
+// measure measures m several times.
+func measure(ctx context.Context, m measurement, o Options, shared *zones) (capacity.Slope, error) {
+	var slopes, intercepts []float64
+	var last capacity.Line
+	for range o.Runs {
+		r := &run{ctx: ctx, full: o.Full, starter: o.Starter, zones: shared}
+		line, err := m.measure(r)
+		r.close()
+		if err != nil {
+			return capacity.Slope{}, err
+		}
+		last = line
+		slopes = append(slopes, line.Slope)
+		intercepts = append(intercepts, line.Intercept)
+	}
+	sort.Float64s(slopes)
+	sort.Float64s(intercepts)
+	n := o.Runs
+	return capacity.Slope{
+		Name: m.name, Unit: m.unit, Measured: true,
+		Slope: slopes[n/2], Intercept: intercepts[n/2], Low: slopes[0], High: slopes[n-1], Runs: n, Points: last.Points,
+		Command: m.command(), Note: join(m.what, o.Note),
+	}, nil
+}
+
+func join(what, note string) string {
+	if note == "" {
+		return what
+	}
+	return what + "; " + note
+}
