Let operators reach instances and the platform over TLS

The setting tls protected only the instances' own protocol: the admin listener was plain HTTP always, and the operators' command had no certificate to show.

Weighed: TLS at the admin listener whenever tls is set. Ruled out, since a collector of metrics without a certificate would be cut off by an edit that it knows nothing of; so it is asked for with tls.admin. The scheme as a flag of the command was ruled out too, since a change over to TLS goes one instance after another: the instance's entry in the platform's list says it (admin_tls, optional in the platform's and the members' form).

Change: `--tls-certificate`, `--tls-key`, `--tls-authority` and their environment variables on every task that talks to the platform; instances are known by their authority, an https platform also by its name or number, to the command and to jacinthrampd alike. An instance that takes only TLS is named as peer-rejected when the command has no certificate.

--- a/cmd/jacinthramp/session.go
+++ b/cmd/jacinthramp/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/operate"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/operator"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
@@ -40,6 +42,9 @@
 func platformFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` of the platform, an IP number and port or a URL", Sources: cli.EnvVars("JACINTHRAMP_PLATFORM")},
+		&cli.StringFlag{Name: "tls-certificate", Usage: "PEM `FILE` with the certificate to show to instances and to an https platform", TakesFile: true, Sources: cli.EnvVars("JACINTHRAMP_TLS_CERTIFICATE")},
+		&cli.StringFlag{Name: "tls-key", Usage: "PEM `FILE` with the certificate's key", TakesFile: true, Sources: cli.EnvVars("JACINTHRAMP_TLS_KEY")},
+		&cli.StringFlag{Name: "tls-authority", Usage: "PEM `FILE` with the authority of all certificates", TakesFile: true, Sources: cli.EnvVars("JACINTHRAMP_TLS_AUTHORITY")},
 		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "longest `TIME` for the platform's answers"},
 	}
 }
@@ -119,8 +124,12 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	p := platform.NewClient(base, nil)
-	admin := operator.NewClient(nil, "http")
+	named, unnamed, err := tlsOf(cmd)
+	if err != nil {
+		return nil, nil, err
+	}
+	p := platform.NewTLSClient(base, named)
+	admin := operator.NewClient(unnamed)
 	end := func() {
 		p.Close()
 		admin.Close()
@@ -128,6 +137,24 @@
 	return &operate.Session{Tables: p, Objects: p, Instances: p, Admin: admin}, end, nil
 }
 
+// tlsOf reads the certificates that the flags name: for the platform, which is
+// known by its name, and for instances, which are known by their authority.
+// Both are nil when none is named.
+func tlsOf(cmd *cli.Command) (named, unnamed *tls.Config, err error) {
+	f := instance.Files{Certificate: cmd.String("tls-certificate"), Key: cmd.String("tls-key"), Authority: cmd.String("tls-authority")}
+	if f == (instance.Files{}) {
+		return nil, nil, nil
+	}
+	if f.Certificate == "" || f.Key == "" || f.Authority == "" {
+		return nil, nil, fault.New(fault.KindBadRequest, "name all of --tls-certificate, --tls-key and --tls-authority, or none")
+	}
+	id, err := instance.LoadIdentity(f)
+	if err != nil {
+		return nil, nil, err
+	}
+	return id.NamedTLS(), id.ClientTLS(), nil
+}
+
 // printResult writes a result in the chosen form.
 func printResult(cmd *cli.Command, v printable) error {
 	w := writerOf(cmd)
--- a/cmd/jacinthrampd/serve.go
+++ b/cmd/jacinthrampd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 
 	"go.uber.org/zap"
 
@@ -21,7 +22,15 @@
 	if _, err := zap.RedirectStdLogAt(log, zap.DebugLevel); err != nil {
 		return err
 	}
-	client := platform.NewClient(s.Platform.URL, nil)
+	identity, err := daemon.LoadIdentity(s.TLS)
+	if err != nil {
+		return err
+	}
+	var config *tls.Config
+	if identity != nil {
+		config = identity.NamedTLS()
+	}
+	client := platform.NewTLSClient(s.Platform.URL, config)
 	defer client.Close()
 	d, err := daemon.New(s, client, log)
 	if err != nil {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -47,7 +47,7 @@
 // New opens the listeners that s names and wires an instance to p. An address
 // that can't be listened on is fault.KindInvalidSettings.
 func New(s *settings.Settings, p Platform, log *zap.Logger) (*Daemon, error) {
-	identity, err := loadIdentity(s.TLS)
+	identity, err := LoadIdentity(s.TLS)
 	if err != nil {
 		return nil, err
 	}
@@ -66,6 +66,9 @@
 	if identity != nil {
 		serverTLS = identity.ServerTLS()
 		d.peers = instance.NewClient(identity.ClientTLS())
+		if s.TLS.Admin {
+			ls.Admin = tls.NewListener(ls.Admin, serverTLS)
+		}
 	}
 	d.metrics = telemetry.NewMetrics(s.Instance.ID, s.Instance.Zone)
 	d.self = platform.Instance{
@@ -77,6 +80,7 @@
 		HopAddress:    ls.Hop.Addr().String(),
 		PeerAddress:   peer.Addr().String(),
 		AdminAddress:  ls.Admin.Addr().String(),
+		AdminTLS:      s.TLS.Admin,
 	}
 	c := cluster.New(cluster.Config{
 		Self: d.self, Timing: cluster.DefaultTiming(),
@@ -90,8 +94,9 @@
 	return d, nil
 }
 
-// loadIdentity reads the certificates, or returns nil when none are named.
-func loadIdentity(t settings.TLS) (*instance.Identity, error) {
+// LoadIdentity reads the certificates, or returns nil when none are named.
+// Errors: as instance.LoadIdentity.
+func LoadIdentity(t settings.TLS) (*instance.Identity, error) {
 	if !t.Enabled() {
 		return nil, nil
 	}
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -21,6 +21,8 @@
 	HopAddress    string `json:"hop_address,omitempty"`
 	PeerAddress   string `json:"peer_address,omitempty"`
 	AdminAddress  string `json:"admin_address,omitempty"`
+	// AdminTLS says that the admin listener takes only TLS.
+	AdminTLS bool `json:"admin_tls,omitempty"`
 	// Leaving is set once the instance stops. It holds for the incarnation.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/pkg/operate/operate_test.go
+++ b/pkg/operate/operate_test.go
@@ -46,7 +46,7 @@
 func session(t *testing.T, tb *table.Tables) (*Session, *standin.Store) {
 	t.Helper()
 	store := standin.New(time.Now)
-	s := &Session{Tables: store, Objects: store, Instances: store, Admin: operator.NewClient(nil, "http")}
+	s := &Session{Tables: store, Objects: store, Instances: store, Admin: operator.NewClient(nil)}
 	t.Cleanup(s.Admin.Close)
 	if _, err := s.accept(t.Context(), tb, Signature{EditID: "first"}); err != nil {
 		t.Fatal(err)
--- a/pkg/operate/watch.go
+++ b/pkg/operate/watch.go
@@ -233,7 +233,7 @@
 			continue
 		}
 		var e wire.Explanation
-		e, err = s.Admin.Explain(ctx, in.AdminAddress, values)
+		e, err = s.Admin.Explain(ctx, in, values)
 		if fault.KindOf(err) != fault.KindPeerUnavailable {
 			return e, err
 		}
--- a/pkg/peer/instance/identity.go
+++ b/pkg/peer/instance/identity.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// NamedTLS returns the configuration for calls to a server that is known by
+// its name or IP number, which its certificate of the authority must hold. The
+// authority is that of the time of the call.
+func (id *Identity) NamedTLS() *tls.Config {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		RootCAs:    id.roots,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return id.current(), nil
+		},
+	}
+}
+
 // current returns the certificate, read again when the files have changed.
 func (id *Identity) current() *tls.Certificate {
 	id.refresh()
--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -29,35 +30,35 @@
 // Client reads the admin endpoints of instances. It may be used from several
 // goroutines at once.
 type Client struct {
-	http   *http.Client
-	scheme string
+	http *http.Client
+	// tls says that the client has a certificate to show.
+	tls bool
 }
 
-// NewClient returns a Client. A nil transport means plain HTTP by a transport
-// of the client's own; with a transport, scheme is "http" or "https".
-func NewClient(rt http.RoundTripper, scheme string) *Client {
-	if rt == nil {
-		rt = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
-	}
-	return &Client{http: &http.Client{Transport: rt}, scheme: scheme}
+// NewClient returns a Client. The configuration is for instances whose entry
+// says that they take only TLS; nil means that these can't be asked.
+func NewClient(config *tls.Config) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, TLSClientConfig: config}
+	return &Client{http: &http.Client{Transport: t}, tls: config != nil}
 }
 
 // Close drops the client's idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Status reads the status of the instance with the given admin address.
-// Error: fault.KindPeerUnavailable.
-func (c *Client) Status(ctx context.Context, address string) (wire.Status, error) {
+// Status reads the status of an instance of the platform's list. Errors:
+// fault.KindPeerUnavailable, fault.KindPeerRejected when it takes only TLS and
+// the client has no certificate.
+func (c *Client) Status(ctx context.Context, in platform.Instance) (wire.Status, error) {
 	var s wire.Status
-	err := c.get(ctx, address, wire.PathStatus, nil, &s)
+	err := c.get(ctx, in, wire.PathStatus, nil, &s)
 	return s, err
 }
 
 // Explain asks an instance why a request goes where it goes. Errors:
-// fault.KindUnknownRoute, fault.KindPeerUnavailable.
-func (c *Client) Explain(ctx context.Context, address string, q url.Values) (wire.Explanation, error) {
+// fault.KindUnknownRoute, and those of Status.
+func (c *Client) Explain(ctx context.Context, in platform.Instance, q url.Values) (wire.Explanation, error) {
 	var e wire.Explanation
-	err := c.get(ctx, address, wire.PathExplain, q, &e)
+	err := c.get(ctx, in, wire.PathExplain, q, &e)
 	return e, err
 }
 
@@ -74,16 +75,23 @@
 func (c *Client) StatusOfAll(ctx context.Context, list []platform.Instance) []Report {
 	m := iter.Mapper[platform.Instance, Report]{MaxGoroutines: maxConcurrent}
 	return m.Map(list, func(in *platform.Instance) Report {
-		s, err := c.Status(ctx, in.AdminAddress)
+		s, err := c.Status(ctx, *in)
 		return Report{Instance: *in, Status: s, Err: err}
 	})
 }
 
 // get reads one JSON answer.
-func (c *Client) get(ctx context.Context, address, path string, q url.Values, out any) error {
+func (c *Client) get(ctx context.Context, in platform.Instance, path string, q url.Values, out any) error {
+	address, scheme := in.AdminAddress, "http"
+	if in.AdminTLS {
+		scheme = "https"
+		if !c.tls {
+			return fault.New(fault.KindPeerRejected, "instance at %s takes only callers with a certificate; name yours with --tls-certificate, --tls-key and --tls-authority", address)
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	u := url.URL{Scheme: c.scheme, Host: address, Path: path, RawQuery: q.Encode()}
+	u := url.URL{Scheme: scheme, Host: address, Path: path, RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return fault.Wrap(fault.KindPeerUnavailable, err, "the admin address %q can't be used", address)
--- a/pkg/peer/platform/http.go
+++ b/pkg/peer/platform/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -55,11 +56,23 @@
 	_ Instances = (*Client)(nil)
 )
 
+// NewTLSClient is NewClient with a TLS configuration for an https base; nil
+// means the machine's authorities and no certificate of the client's own.
+func NewTLSClient(base string, config *tls.Config) *Client {
+	t := newTransport()
+	t.TLSClientConfig = config
+	return NewClient(base, t)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+}
+
 // NewClient returns a client of the platform at base, such as
 // "http://127.0.0.1:7400". A nil rt means a transport of the client's own.
 func NewClient(base string, rt http.RoundTripper) *Client {
 	if rt == nil {
-		rt = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+		rt = newTransport()
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: rt}}
 }
--- a/pkg/peer/platform/platform.go
+++ b/pkg/peer/platform/platform.go
@@ -63,6 +63,9 @@
 	HopAddress    string `json:"hop_address"`
 	PeerAddress   string `json:"peer_address"`
 	AdminAddress  string `json:"admin_address"`
+	// AdminTLS says that the admin listener takes only TLS, with a certificate
+	// of the caller.
+	AdminTLS bool `json:"admin_tls,omitempty"`
 	// Leaving is set once the instance has been told to stop.
 	Leaving bool `json:"leaving"`
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -15,7 +15,8 @@
 	Listen Listen `yaml:"listen"`
 	// Platform locates the table service, the object store and the list.
 	Platform Platform `yaml:"platform"`
-	// TLS protects the instances' own protocol. Off unless all are set.
+	// TLS protects the instances' own protocol, and the admin listener when that
+	// is asked for. Off unless the files are all set.
 	TLS TLS `yaml:"tls"`
 	// Limits bounds what one instance takes in.
 	Limits Limits `yaml:"limits"`
@@ -68,8 +69,12 @@
 	// Certificate and Key are this instance's own.
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
-	// Authority signs the certificates of all instances.
+	// Authority signs the certificates of all instances, of the operators'
+	// command, and of the platform when its URL is https.
 	Authority string `yaml:"authority"`
+	// Admin has the admin listener take only callers with a certificate of the
+	// authority. Default false: it serves plain HTTP.
+	Admin bool `yaml:"admin"`
 }
 
 // Enabled reports whether the files are named.
