Let operators steer look-ups by blocks of callers' addresses

The table of blocks stood alone: no file, no place in a version, no look-up that used it.

Weighed: blocks as a third table in YAML, in the tables' own content. Ruled out: 60 MB would be read and hashed with every edit of a pool. So they are an object of their own, by the hash of its content, which a version names with the number of blocks; the file is one prefix and site a line, so that a row is a line. Blocks are read beside the tables: a version is in force before its blocks are, and a list that can't be read leaves the last one in use, since a look-up with old blocks is a worse hint and not a wrong answer. Only what an edit names is checked against regions and zones: a site that later has no instance falls back to the look-up's own place or region.

Change: `--blocks FILE` for validate, plan and apply, each bad row with row and reason; edits without it keep the blocks; an empty file takes them out. An instance swaps its blocks whole by an atomic pointer and tries an unreadable list again after 2 s doubling to 5 min, spread. A look-up takes the caller's address, or the one in `client=`, and names the instances of the block's site first. Without blocks the answers stay as they were.

--- a/cmd/jacinthramp/session.go
+++ b/cmd/jacinthramp/session.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/block"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/operate"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
@@ -54,6 +55,7 @@
 	return []cli.Flag{
 		&cli.StringFlag{Name: "routes", Usage: "`FILE` with the routes table; left out, the table stays as in the version edited", TakesFile: true},
 		&cli.StringFlag{Name: "pools", Usage: "`FILE` with the pools table; left out, the table stays as in the version edited", TakesFile: true},
+		&cli.StringFlag{Name: "blocks", Usage: "`FILE` with the callers' blocks, one prefix and site a line; left out, they stay, an empty file takes them out", TakesFile: true},
 	}
 }
 
@@ -72,7 +74,7 @@
 
 // filesOf returns the files that the flags name.
 func filesOf(cmd *cli.Command) operate.Files {
-	return operate.Files{Routes: cmd.String("routes"), Pools: cmd.String("pools")}
+	return operate.Files{Routes: cmd.String("routes"), Pools: cmd.String("pools"), Blocks: cmd.String("blocks")}
 }
 
 // task is the work of one subcommand. It returns what is printed.
@@ -184,6 +186,7 @@
 	Kind     string                    `json:"kind"`
 	Message  string                    `json:"message"`
 	Problems []table.Problem           `json:"problems,omitempty"`
+	Blocks   []block.Problem           `json:"blocks,omitempty"`
 	Conflict *tablestore.ConflictError `json:"conflict,omitempty"`
 }
 
@@ -197,6 +200,10 @@
 	if errors.As(err, &invalid) {
 		m.Problems = invalid.Problems
 	}
+	var refused *block.RefusedError
+	if errors.As(err, &refused) {
+		m.Blocks = refused.Problems
+	}
 	errors.As(err, &m.Conflict)
 	if werr := writeJSON(writerOf(cmd), map[string]errorMessage{"error": m}); werr != nil {
 		return werr
--- a/cmd/jacinthramp/tables_text.go
+++ b/cmd/jacinthramp/tables_text.go
@@ -41,6 +41,9 @@
 
 func (v validationView) writeText(w io.Writer) {
 	fmt.Fprintf(w, "valid: %d routes, %d pools, %d targets, edited from version %d\n", v.Routes, v.Pools, v.Targets, v.Version)
+	if v.Blocks > 0 {
+		fmt.Fprintf(w, "valid: %d blocks of callers\n", v.Blocks)
+	}
 }
 
 func (v planView) writeText(w io.Writer) {
--- a/cmd/jacinthramp/tls_test.go
+++ b/cmd/jacinthramp/tls_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -25,6 +24,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/daemon"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
 )
@@ -62,27 +62,31 @@
 	}
 }
 
-// secured is a bench whose instance and platform speak only TLS.
-func secured(t *testing.T, files settings.TLS) *bench {
-	b := &bench{t: t, store: standin.New(time.Now), dir: t.TempDir()}
+// start runs an instance on the bench's platform until the end of the test.
+func (b *bench) start(id, zone, region string, files settings.TLS) platform.Instance {
 	s := settings.Default()
-	s.Instance = settings.Instance{ID: "i1", Zone: "osrednja-a", Region: "osrednja"}
+	s.Instance = settings.Instance{ID: id, Zone: zone, Region: region}
 	const anyPort = "127.0.0.1:0"
 	s.Listen = settings.Listen{Caller: anyPort, Hop: anyPort, Peer: anyPort, Admin: anyPort}
 	s.TLS = files
 	d, err := daemon.New(&s, b.store, zap.NewNop())
 	if err != nil {
-		t.Fatal(err)
+		b.t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
+	go func() { done <- d.Run(b.t.Context()) }()
+	b.t.Cleanup(func() {
 		if err := <-done; err != nil {
-			t.Error(err)
+			b.t.Error(err)
 		}
 	})
+	return d.Self()
+}
+
+// secured is a bench whose instance and platform speak only TLS.
+func secured(t *testing.T, files settings.TLS) *bench {
+	b := &bench{t: t, store: standin.New(time.Now), dir: t.TempDir()}
+	b.start("i1", "osrednja-a", "osrednja", files)
 	id, err := instance.LoadIdentity(instance.Files{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority})
 	if err != nil {
 		t.Fatal(err)
@@ -96,6 +100,7 @@
 }
 
 func TestInstancesAndPlatformTakeOnlyCertificatesOfTheAuthority(t *testing.T) {
+	t.Parallel()
 	own, foreign := certify(t), certify(t)
 	b := secured(t, own)
 	flags := func(f settings.TLS) []string {
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -34,7 +34,9 @@
 	offers      chan member.Info
 	beatDue     chan struct{}
 	announceDue chan struct{}
+	blocksDue   chan struct{}
 	tables      atomic.Pointer[table.Tables]
+	blocks      atomic.Pointer[blocks]
 	shares      atomic.Pointer[steer.Shares]
 	instances   atomic.Pointer[[]platform.Instance]
 	summaries   atomic.Pointer[[]steer.ZoneSummary]
@@ -85,6 +87,8 @@
 	}
 	c.loader = tablestore.NewLoader(guardedObjects{cfg.Objects, c.store})
 	c.borrower = allowance.NewBorrower(t.Allowance, func(n int) int { return int(cfg.Rand() * float64(n)) })
+	c.blocksDue = make(chan struct{}, 1)
+	c.blocks.Store(&blocks{})
 	c.shares.Store(&steer.Shares{})
 	c.instances.Store(&[]platform.Instance{cfg.Self})
 	c.summaries.Store(&[]steer.ZoneSummary{})
@@ -112,6 +116,7 @@
 	wg.Go(func() { c.listLoop(ctx) })
 	wg.Go(func() { c.heartbeatLoop(ctx) })
 	wg.Go(func() { c.tablesLoop(ctx) })
+	wg.Go(func() { c.blocksLoop(ctx) })
 	wg.Go(func() { c.offersLoop(ctx) })
 	wg.Go(func() { c.announceLoop(ctx) })
 	wg.Go(func() { c.rowLoop(ctx) })
--- a/pkg/cluster/tables.go
+++ b/pkg/cluster/tables.go
@@ -163,6 +163,7 @@
 		return
 	}
 	signal(c.updates)
+	signal(c.blocksDue)
 	signal(c.rowDue)
 	if c.isWatcher() {
 		signal(c.announceDue)
--- /dev/null
+++ b/pkg/decision/block/file.go
@@ -0,0 +1,58 @@
+package block
+
+import (
+	"bytes"
+	"iter"
+	"strings"
+)
+
+// ParseFile reads a list of blocks: one row a line, a prefix and the name of a
+// site with space between. Rows are counted as lines. A site that known
+// refuses is an unknown site; a nil known takes any. The error is a
+// RefusedError with row and reason.
+func ParseFile(data []byte, known func(site string) bool) (*Table, error) {
+	var sites []string
+	var malformed []Problem
+	seen := map[string]bool{}
+	n := 0
+	for line := range bytes.Lines(data) {
+		n++
+		row, ok := parseLine(line)
+		if !ok {
+			malformed = append(malformed, Problem{Row: n, Reason: "not a row; a prefix and a site with space between are accepted"})
+			if len(malformed) == maxProblems {
+				break
+			}
+			continue
+		}
+		if !seen[row.Site] {
+			site := strings.Clone(row.Site)
+			seen[site] = true
+			if known == nil || known(site) {
+				sites = append(sites, site)
+			}
+		}
+	}
+	if len(malformed) > 0 {
+		return nil, refuse(malformed...)
+	}
+	return Build(sites, lines(data))
+}
+
+// lines yields the rows of well-formed lines.
+func lines(data []byte) iter.Seq[Row] {
+	return func(yield func(Row) bool) {
+		for line := range bytes.Lines(data) {
+			if row, _ := parseLine(line); !yield(row) {
+				return
+			}
+		}
+	}
+}
+
+// parseLine reads one line; ok is false when it has not two parts.
+func parseLine(line []byte) (row Row, ok bool) {
+	prefix, site, ok := strings.Cut(strings.TrimSpace(string(line)), " ")
+	site = strings.TrimSpace(site)
+	return Row{Prefix: prefix, Site: site}, ok && site != "" && !strings.ContainsAny(site, " \t")
+}
--- a/pkg/decision/lookup/lookup.go
+++ b/pkg/decision/lookup/lookup.go
@@ -27,6 +27,7 @@
 
 // Place is where the caller is taken to be.
 type Place struct {
+	// Zone is empty when only the region is known: its zones are then equal.
 	Zone   string
 	Region string
 }
@@ -82,7 +83,7 @@
 
 func orderOf(at Place, in Instance) int {
 	switch {
-	case in.Zone == at.Zone:
+	case in.Zone == at.Zone, at.Zone == "" && in.Region == at.Region:
 		return OrderZone
 	case in.Region == at.Region:
 		return OrderRegion
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -31,8 +31,13 @@
 		f.Write(w)
 		return
 	}
+	at, err := n.placeOf(v, r)
+	if err != nil {
+		f := caller.Refusal{Kind: fault.KindOf(err), Message: err.Error()}
+		f.Write(w)
+		return
+	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	at := lookup.Place{Zone: n.self.Zone, Region: n.self.Region}
 	writeJSON(w, lookup.Answer(v.tables.Version, route, at, n.stamped(v.lookups), rnd))
 }
 
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -20,6 +20,8 @@
 	homes map[home]*hop.Client
 	// lookups are the instances that look-up answers may name.
 	lookups []lookup.Instance
+	// sites are the places that callers' blocks may name.
+	sites map[string]lookup.Place
 	// list is what lookups and hops were built from.
 	list []platform.Instance
 }
@@ -52,6 +54,7 @@
 		next.hops = n.hopClients(next.homes, list)
 		next.lookups = n.lookupInstances(list)
 	}
+	next.sites = sitesOf(next.tables, next.lookups)
 	n.view.Store(&next)
 	n.drains.forget(next.targets)
 	closeGone(old, &next)
--- /dev/null
+++ b/pkg/operate/blocks.go
@@ -0,0 +1,108 @@
+package operate
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/block"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
+)
+
+// maxBlocksBytes bounds a file of blocks; 2.3 million take a quarter of it.
+const maxBlocksBytes = 256 << 20
+
+// blocksEdit is a checked file of blocks.
+type blocksEdit struct {
+	data []byte
+	// blocks is nil when the file is empty: the version has no blocks.
+	blocks *table.Blocks
+}
+
+// readBlocks reads the named file and checks its rows: a site is a region or
+// zone of the tables that it goes with, or of a listed instance. The error is
+// a block.RefusedError.
+func (s *Session) readBlocks(ctx context.Context, name string, t *table.Tables) (*blocksEdit, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fault.Wrap(fault.KindBadRequest, err, "the file can't be read")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxBlocksBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.KindBadRequest, err, "the file %s can't be read", name)
+	}
+	if len(data) > maxBlocksBytes {
+		return nil, fault.New(fault.KindInvalidTable, "%s has more than %d bytes", name, maxBlocksBytes)
+	}
+	sites := s.sitesOf(ctx, t)
+	parsed, err := block.ParseFile(data, func(site string) bool { return sites[site] })
+	if err != nil {
+		return nil, err
+	}
+	e := &blocksEdit{data: data}
+	if parsed.Len() > 0 {
+		e.blocks = &table.Blocks{Object: tablestore.BlocksName(data), Count: parsed.Len()}
+	}
+	return e, nil
+}
+
+// sitesOf returns the names of the regions and zones of t and, as far as the
+// list can be read, of the instances.
+func (s *Session) sitesOf(ctx context.Context, t *table.Tables) map[string]bool {
+	sites := map[string]bool{}
+	for _, r := range t.WithDefaults().Regions {
+		sites[r.Name] = true
+	}
+	for _, p := range t.Pools {
+		sites[p.Region] = true
+		for _, tg := range p.Targets {
+			sites[tg.Zone] = true
+		}
+	}
+	if s.Instances == nil {
+		return sites
+	}
+	list, err := s.Instances.ListInstances(ctx)
+	if err != nil {
+		return sites
+	}
+	for _, in := range list {
+		sites[in.Region], sites[in.Zone] = true, true
+	}
+	return sites
+}
+
+// withBlocks gives an edit the blocks of its file; without a file, it keeps
+// those of the version that it was made against.
+func (s *Session) withBlocks(ctx context.Context, f Files, edit *table.Tables) (*blocksEdit, error) {
+	if f.Blocks != "" {
+		b, err := s.readBlocks(ctx, f.Blocks, edit)
+		if err == nil {
+			edit.Blocks = b.blocks
+		}
+		return b, err
+	}
+	if s.Tables == nil {
+		return nil, nil
+	}
+	base, err := tablestore.LoadVersion(ctx, s.Tables, s.Objects, edit.Version)
+	if fault.KindOf(err) == fault.KindInvalidTable {
+		return nil, nil // the edit will be refused as one of another version
+	}
+	if err != nil {
+		return nil, err
+	}
+	edit.Blocks = base.Blocks
+	return nil, nil
+}
+
+// put stores the content; it must be there before a version names it.
+func (e *blocksEdit) put(ctx context.Context, s *Session) error {
+	if e == nil || e.blocks == nil {
+		return nil
+	}
+	return s.Objects.PutObject(ctx, e.blocks.Object, e.data)
+}
--- a/pkg/operate/edit.go
+++ b/pkg/operate/edit.go
@@ -18,11 +18,14 @@
 	Routes  int    `json:"routes"`
 	Pools   int    `json:"pools"`
 	Targets int    `json:"targets"`
+	// Blocks is the number of callers' blocks in the file, zero without one.
+	Blocks int `json:"blocks"`
 }
 
-// Validate checks table files. The error is a table.InvalidError.
+// Validate checks table files. The error is a table.InvalidError, or a
+// block.RefusedError for the file of blocks.
 func (s *Session) Validate(ctx context.Context, f Files) (Validation, error) {
-	parsed, err := s.parse(ctx, f)
+	parsed, err := s.parseTables(ctx, f)
 	if err != nil {
 		return Validation{}, err
 	}
@@ -30,6 +33,16 @@
 	for _, p := range parsed.Tables.Pools {
 		v.Targets += len(p.Targets)
 	}
+	if f.Blocks == "" {
+		return v, nil
+	}
+	b, err := s.readBlocks(ctx, f.Blocks, parsed.Tables)
+	if err != nil {
+		return Validation{}, err
+	}
+	if b.blocks != nil {
+		v.Blocks = b.blocks.Count
+	}
 	return v, nil
 }
 
@@ -43,7 +56,7 @@
 
 // Plan reads an edit and says what it changes.
 func (s *Session) Plan(ctx context.Context, f Files) (Plan, error) {
-	parsed, err := s.parse(ctx, f)
+	parsed, _, err := s.parse(ctx, f)
 	if err != nil {
 		return Plan{}, err
 	}
@@ -86,7 +99,7 @@
 // a limit below what is running; tablestore.ConflictError;
 // fault.KindStoreUnavailable; fault.KindStoreAmbiguous.
 func (s *Session) Apply(ctx context.Context, f Files, sig Signature) (Applied, error) {
-	parsed, err := s.parse(ctx, f)
+	parsed, blocks, err := s.parse(ctx, f)
 	if err != nil {
 		return Applied{}, err
 	}
@@ -107,6 +120,9 @@
 		return out, err
 	}
 	out.Unchecked = unchecked
+	if err := blocks.put(ctx, s); err != nil {
+		return out, err
+	}
 	out.Head, err = s.accept(ctx, parsed.Tables, sig)
 	out.Accepted = err == nil
 	return out, err
--- a/pkg/operate/session.go
+++ b/pkg/operate/session.go
@@ -66,12 +66,15 @@
 type Files struct {
 	Routes string
 	Pools  string
+	// Blocks names the file with the callers' blocks. An empty name keeps
+	// those of the version.
+	Blocks string
 }
 
 // read reads the files that are named.
 func (f Files) read() (routes, pools *table.Source, err error) {
 	if f.Routes == "" && f.Pools == "" {
-		return nil, nil, fault.New(fault.KindBadRequest, "name the edited files with --routes, --pools or both")
+		return nil, nil, fault.New(fault.KindBadRequest, "name the edited files with --routes, --pools, --blocks or several of them")
 	}
 	if routes, err = readFile(f.Routes); err != nil {
 		return nil, nil, err
@@ -99,7 +102,25 @@
 
 // parse reads an edit. A file that is left out takes its table from the
 // version that the other file names.
-func (s *Session) parse(ctx context.Context, f Files) (*table.Parsed, error) {
+func (s *Session) parse(ctx context.Context, f Files) (*table.Parsed, *blocksEdit, error) {
+	parsed, err := s.parseTables(ctx, f)
+	if err != nil {
+		return nil, nil, err
+	}
+	blocks, err := s.withBlocks(ctx, f, parsed.Tables)
+	return parsed, blocks, err
+}
+
+// parseTables is parse without the blocks. Blocks alone are an edit of the
+// version in force.
+func (s *Session) parseTables(ctx context.Context, f Files) (*table.Parsed, error) {
+	if f.Routes == "" && f.Pools == "" && f.Blocks != "" {
+		if s.Tables == nil {
+			return nil, fault.New(fault.KindBadRequest, "the sites of blocks are checked against the tables: name both files, or the platform with --platform")
+		}
+		_, t, err := s.current(ctx)
+		return &table.Parsed{Tables: t}, err
+	}
 	routes, pools, err := f.read()
 	if err != nil {
 		return nil, err
--- a/pkg/table/diff.go
+++ b/pkg/table/diff.go
@@ -52,7 +52,23 @@
 	cs = append(cs, diffRows("route", a.Routes, b.Routes, func(r *Route) string { return r.Name })...)
 	cs = append(cs, diffRows("region", a.Regions, b.Regions, func(r *Region) string { return r.Name })...)
 	cs = append(cs, diffRows("pool", a.Pools, b.Pools, func(p *Pool) string { return p.Name })...)
-	return cs
+	return append(cs, diffBlocks(a.Blocks, b.Blocks)...)
+}
+
+// diffBlocks compares the names of two lists of blocks.
+func diffBlocks(old, new *Blocks) []Change {
+	const row = "blocks"
+	switch {
+	case old == nil && new == nil, old != nil && new != nil && *old == *new:
+		return nil
+	case old == nil:
+		return []Change{{Op: Added, Row: row, Field: "count", New: fmt.Sprint(new.Count)}}
+	case new == nil:
+		return []Change{{Op: Removed, Row: row, Field: "count", Old: fmt.Sprint(old.Count)}}
+	case old.Count != new.Count:
+		return []Change{{Op: Changed, Row: row, Field: "count", Old: fmt.Sprint(old.Count), New: fmt.Sprint(new.Count)}}
+	}
+	return []Change{{Op: Changed, Row: row, Field: "object", Old: old.Object, New: new.Object}}
 }
 
 // diffRows compares two lists of rows by name.
--- a/pkg/table/patch.go
+++ b/pkg/table/patch.go
@@ -13,6 +13,8 @@
 	Pools   RowPatch[Pool]   `json:"pools,omitzero"`
 	Regions RowPatch[Region] `json:"regions,omitzero"`
 	Shifts  RowPatch[Shift]  `json:"shifts,omitzero"`
+	// Blocks are those of the new version, also when they did not change.
+	Blocks *Blocks `json:"blocks,omitempty"`
 }
 
 // RowPatch is the difference between two lists of rows.
@@ -42,6 +44,7 @@
 		Pools:   patchRows(old.Pools, new.Pools, poolKey, samePool),
 		Regions: patchRows(old.Regions, new.Regions, regionKey, func(a, b *Region) bool { return *a == *b }),
 		Shifts:  patchRows(old.Shifts, new.Shifts, shiftKey, func(a, b *Shift) bool { return *a == *b }),
+		Blocks:  new.Blocks,
 	}
 }
 
@@ -54,6 +57,7 @@
 	t.Pools = p.Pools.apply(t.Pools, poolKey)
 	t.Regions = p.Regions.apply(t.Regions, regionKey)
 	t.Shifts = p.Shifts.apply(t.Shifts, shiftKey)
+	t.Blocks = p.Blocks
 	return t
 }
 
--- a/pkg/table/rapid_test.go
+++ b/pkg/table/rapid_test.go
@@ -231,6 +231,11 @@
 			slices.Reverse(next.Pools)
 		}
 		next.Shifts = []Shift{{Route: "route-0", Pool: "pool.0", Share: rapid.Float64Range(0, 1).Draw(t, "share")}}
+		lists := []*Blocks{nil, {Object: "blocks/a", Count: 1}, {Object: "blocks/b", Count: 1}}
+		old.Blocks, next.Blocks = rapid.SampledFrom(lists).Draw(t, "old blocks"), rapid.SampledFrom(lists).Draw(t, "blocks")
+		if (len(diffBlocks(old.Blocks, next.Blocks)) == 0) != (old.Blocks == next.Blocks) {
+			t.Fatalf("difference of blocks %v and %v", old.Blocks, next.Blocks)
+		}
 		data, err := json.Marshal(PatchOf(old, next))
 		if err != nil {
 			t.Fatal(err)
@@ -241,7 +246,7 @@
 		}
 		before := old.Clone()
 		got := p.Apply(old)
-		if !same(got, next) || !reflect.DeepEqual(got.Shifts, next.Shifts) {
+		if !same(got, next) || !reflect.DeepEqual(got.Shifts, next.Shifts) || !reflect.DeepEqual(got.Blocks, next.Blocks) {
 			t.Fatalf("patch %s\ngave %+v\nwant %+v", data, got, next)
 		}
 		if !same(old, before) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -24,6 +24,18 @@
 	// route and pool. The accepting operator's command fills them in, so that
 	// the ramp to the new weights is a pure function of this version and time.
 	Shifts []Shift `yaml:"shifts,omitempty" json:"shifts,omitempty"`
+	// Blocks names the list of callers' blocks; nil means none. It has a file
+	// of its own, so that neither table has it in its form.
+	Blocks *Blocks `yaml:"-" json:"blocks,omitempty"`
+}
+
+// Blocks names a list of blocks of callers' addresses in the object store. It
+// is immutable.
+type Blocks struct {
+	// Object names the content by its hash.
+	Object string `json:"object"`
+	// Count is the number of blocks, above zero.
+	Count int `json:"count"`
 }
 
 // Priority orders requests that wait for the same capacity.
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -20,9 +20,25 @@
 	v.regions()
 	v.pools()
 	v.routes()
+	v.blocks()
 	return v.problems
 }
 
+// blocks checks the name of the list of blocks; its content is checked where
+// it is read.
+func (v *validator) blocks() {
+	b := v.t.Blocks
+	if b == nil {
+		return
+	}
+	if b.Object == "" {
+		v.add("blocks", "blocks", "object", "is empty; the name of an object is accepted")
+	}
+	if b.Count < 1 {
+		v.add("blocks", "blocks", "count", "%d; a number above zero is accepted", b.Count)
+	}
+}
+
 // validator collects the problems of tables whose defaults are filled.
 type validator struct {
 	t        *Tables
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -51,8 +51,11 @@
 // Paths served to callers.
 const (
 	// PathLookup answers which instances to use; query parameters "route", or
-	// "host" and "path".
+	// "host" and "path"; QueryClient names another address than the caller's.
 	PathLookup = "/.jacinthramp/v1/lookup"
+	// QueryClient is the query parameter with the address that a look-up is
+	// for, as a resolver gives it that asks on behalf of others.
+	QueryClient = "client"
 )
 
 // Paths on the admin listener.
