Follow an edit of the callers' blocks by its difference

A trial with 2.3 million blocks: an instance read the whole list, 61 MB, with each edit of it, and kept 187 MB of memory after.

Weighed: parts of the list as objects of their own. Ruled out for now: 35 reads for each instance and edit, against one. So the version names the list that it follows from and the difference, up to 10,000 rows, by their hashes; an instance that holds that list applies it, and reads the list whole when the difference is missing, refused, or gives another number of blocks.

Change: the difference beside the list; the memory of a list read whole is given back after; the platform's client makes its buffer of the stated length.

--- a/pkg/cluster/blocks.go
+++ b/pkg/cluster/blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,16 +78,21 @@
 		c.blocks.Store(&blocks{})
 		return true
 	}
-	if c.blocks.Load().object == t.Blocks.Object {
+	held := c.blocks.Load()
+	if held.object == t.Blocks.Object {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, blocksTimeout)
 	defer cancel()
-	table, err := tablestore.LoadBlocks(ctx, c.cfg.Objects, *t.Blocks)
+	table, err := tablestore.FollowBlocks(ctx, c.cfg.Objects, *t.Blocks, held.object, held.table)
 	if err != nil {
 		c.cfg.Log.Error("blocks not read, the last ones stay in use", zap.Uint64("version", t.Version), zap.Error(err))
 		return false
 	}
 	c.blocks.Store(&blocks{object: t.Blocks.Object, table: table})
+	if held.table == nil || t.Blocks.From != held.object {
+		// The content that was read is several times the table made of it.
+		debug.FreeOSMemory()
+	}
 	return true
 }
--- a/pkg/decision/block/file.go
+++ b/pkg/decision/block/file.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"iter"
+	"net/netip"
+	"slices"
 	"strings"
 )
 
@@ -56,3 +58,38 @@
 	site = strings.TrimSpace(site)
 	return Row{Prefix: prefix, Site: site}, ok && site != "" && !strings.ContainsAny(site, " \t")
 }
+
+// Difference returns the delta from one list to another, or false when it has
+// more than limit rows. Both lists must be valid.
+func Difference(old, next []byte, limit int) (d Delta, ok bool) {
+	before := map[netip.Prefix]string{}
+	for row := range lines(old) {
+		if p, err := netip.ParsePrefix(row.Prefix); err == nil {
+			before[p] = row.Site
+		}
+	}
+	kept := map[netip.Prefix]bool{}
+	for row := range lines(next) {
+		p, err := netip.ParsePrefix(row.Prefix)
+		if err != nil || kept[p] {
+			continue
+		}
+		kept[p] = true
+		if site, ok := before[p]; !ok || site != row.Site {
+			d.Set = append(d.Set, row)
+		}
+		if len(d.Set) > limit {
+			return Delta{}, false
+		}
+	}
+	for p := range before {
+		if !kept[p] {
+			d.Remove = append(d.Remove, Row{Prefix: p.String()})
+		}
+		if len(d.Set)+len(d.Remove) > limit {
+			return Delta{}, false
+		}
+	}
+	slices.SortFunc(d.Remove, func(a, b Row) int { return strings.Compare(a.Prefix, b.Prefix) })
+	return d, true
+}
--- a/pkg/decision/block/row.go
+++ b/pkg/decision/block/row.go
@@ -11,9 +11,9 @@
 // Row is one row of a list of blocks.
 type Row struct {
 	// Prefix is an IPv4 or IPv6 prefix such as "10.1.0.0/16".
-	Prefix string
+	Prefix string `json:"prefix"`
 	// Site names the site; a removal leaves it empty.
-	Site string
+	Site string `json:"site,omitempty"`
 }
 
 // Problem is one row that was refused.
--- a/pkg/decision/block/update.go
+++ b/pkg/decision/block/update.go
@@ -12,10 +12,10 @@
 // Delta is a change of a table. It is applied whole or not at all.
 type Delta struct {
 	// Set adds blocks, or moves blocks that exist to another site.
-	Set []Row
+	Set []Row `json:"set,omitempty"`
 	// Remove takes out blocks that exist; Site is ignored. Rows are counted
 	// on from those of Set.
-	Remove []Row
+	Remove []Row `json:"remove,omitempty"`
 }
 
 // Build returns a table of the rows. Sorted rows (IPv4 before IPv6, then by
--- a/pkg/operate/blocks.go
+++ b/pkg/operate/blocks.go
@@ -19,8 +19,13 @@
 	data []byte
 	// blocks is nil when the file is empty: the version has no blocks.
 	blocks *table.Blocks
+	// delta is the content of the object that blocks.Delta names.
+	delta []byte
 }
 
+// maxDelta bounds the rows of a difference that is stored beside a list.
+const maxDelta = 10_000
+
 // readBlocks reads the named file and checks its rows: a site is a region or
 // zone of the tables that it goes with, or of a listed instance. The error is
 // a block.RefusedError.
@@ -78,31 +83,58 @@
 // withBlocks gives an edit the blocks of its file; without a file, it keeps
 // those of the version that it was made against.
 func (s *Session) withBlocks(ctx context.Context, f Files, edit *table.Tables) (*blocksEdit, error) {
-	if f.Blocks != "" {
-		b, err := s.readBlocks(ctx, f.Blocks, edit)
-		if err == nil {
-			edit.Blocks = b.blocks
-		}
-		return b, err
-	}
-	if s.Tables == nil {
-		return nil, nil
-	}
 	base, err := tablestore.LoadVersion(ctx, s.Tables, s.Objects, edit.Version)
 	if fault.KindOf(err) == fault.KindInvalidTable {
-		return nil, nil // the edit will be refused as one of another version
+		base, err = &table.Tables{}, nil // the edit is refused as one of another version
 	}
 	if err != nil {
 		return nil, err
 	}
 	edit.Blocks = base.Blocks
-	return nil, nil
+	if f.Blocks == "" {
+		return nil, nil
+	}
+	e, err := s.readBlocks(ctx, f.Blocks, edit)
+	if err != nil {
+		return nil, err
+	}
+	if e.blocks != nil && base.Blocks != nil {
+		if e.blocks.Object == base.Blocks.Object {
+			return nil, nil
+		}
+		if err := e.follow(ctx, s, base.Blocks.Object); err != nil {
+			return nil, err
+		}
+	}
+	edit.Blocks = e.blocks
+	return e, nil
 }
 
-// put stores the content; it must be there before a version names it.
+// follow adds the difference from the list named from. It is only a short
+// way: without it, instances read the whole list.
+func (e *blocksEdit) follow(ctx context.Context, s *Session, from string) error {
+	old, found, err := s.Objects.GetObject(ctx, from)
+	if err != nil || !found {
+		return nil
+	}
+	d, ok := block.Difference(old, e.data, maxDelta)
+	if !ok {
+		return nil
+	}
+	e.blocks.From = from
+	e.blocks.Delta, e.delta, err = tablestore.EncodeDelta(d)
+	return err
+}
+
+// put stores the contents; they must be there before a version names them.
 func (e *blocksEdit) put(ctx context.Context, s *Session) error {
 	if e == nil || e.blocks == nil {
 		return nil
 	}
+	if e.blocks.Delta != "" {
+		if err := s.Objects.PutObject(ctx, e.blocks.Delta, e.delta); err != nil {
+			return err
+		}
+	}
 	return s.Objects.PutObject(ctx, e.blocks.Object, e.data)
 }
--- a/pkg/peer/platform/http.go
+++ b/pkg/peer/platform/http.go
@@ -169,6 +169,17 @@
 	return fault.New(fault.KindStoreUnavailable, "platform answered %d: %s", a.status, a.text())
 }
 
+// readBody reads an answer, at most one byte more than is accepted. A length
+// that is stated saves the growing of a large buffer.
+func readBody(resp *http.Response) ([]byte, error) {
+	var b bytes.Buffer
+	if n := resp.ContentLength; n > 0 && n <= maxAnswerBytes {
+		b.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	return b.Bytes(), err
+}
+
 // do sends one request and reads its whole answer. Its error is
 // KindStoreAmbiguous when a transaction may have reached the platform, and
 // KindStoreUnavailable otherwise.
@@ -202,7 +213,7 @@
 		return answer{}, fault.Wrap(kind(), err, "asking the platform")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	data, err := readBody(resp)
 	if err != nil {
 		return answer{}, fault.Wrap(kind(), err, "reading the platform's answer")
 	}
--- a/pkg/standin/platform/http.go
+++ b/pkg/standin/platform/http.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -104,6 +105,7 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 	default:
 		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 		_, _ = w.Write(data)
 	}
 }
--- a/pkg/table/diff.go
+++ b/pkg/table/diff.go
@@ -59,7 +59,7 @@
 func diffBlocks(old, new *Blocks) []Change {
 	const row = "blocks"
 	switch {
-	case old == nil && new == nil, old != nil && new != nil && *old == *new:
+	case old == nil && new == nil, old != nil && new != nil && old.Object == new.Object:
 		return nil
 	case old == nil:
 		return []Change{{Op: Added, Row: row, Field: "count", New: fmt.Sprint(new.Count)}}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -36,6 +36,10 @@
 	Object string `json:"object"`
 	// Count is the number of blocks, above zero.
 	Count int `json:"count"`
+	// From and Delta name another list and the difference to this one, for
+	// those that hold that list. Both are empty when there is no short way.
+	From  string `json:"from,omitempty"`
+	Delta string `json:"delta,omitempty"`
 }
 
 // Priority orders requests that wait for the same capacity.
--- a/pkg/tablestore/blocks.go
+++ b/pkg/tablestore/blocks.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/block"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
@@ -15,24 +16,76 @@
 // hash of the content follows.
 const BlocksPrefix = "blocks/"
 
+// DeltaPrefix starts the names of the objects that hold the difference between
+// two lists of blocks; the hash of the content follows.
+const DeltaPrefix = "block-deltas/"
+
 // BlocksName returns the name of the object that holds a list of blocks.
-func BlocksName(data []byte) string {
+func BlocksName(data []byte) string { return hashed(BlocksPrefix, data) }
+
+func hashed(prefix string, data []byte) string {
 	sum := sha256.Sum256(data)
-	return BlocksPrefix + hex.EncodeToString(sum[:])
+	return prefix + hex.EncodeToString(sum[:])
 }
 
-// LoadBlocks reads the list that b names, checks its hash and its rows. Errors:
-// fault.KindStoreUnavailable, fault.KindInvalidTable.
-func LoadBlocks(ctx context.Context, o platform.Objects, b table.Blocks) (*block.Table, error) {
-	data, found, err := o.GetObject(ctx, b.Object)
+// EncodeDelta returns the content of a difference and the name of its object.
+func EncodeDelta(d block.Delta) (name string, data []byte, err error) {
+	data, err = json.Marshal(d)
+	return hashed(DeltaPrefix, data), data, err
+}
+
+// FollowBlocks is LoadBlocks for one that holds the list named object, which
+// need not be read again where b says how it differs.
+func FollowBlocks(ctx context.Context, o platform.Objects, b table.Blocks, object string, held *block.Table) (*block.Table, error) {
+	if held != nil && b.Delta != "" && b.From == object {
+		if t, err := applyDelta(ctx, o, b, held); err == nil {
+			return t, nil
+		}
+	}
+	return LoadBlocks(ctx, o, b)
+}
+
+// applyDelta makes the list that b names from the one that is held.
+func applyDelta(ctx context.Context, o platform.Objects, b table.Blocks, held *block.Table) (*block.Table, error) {
+	data, err := getHashed(ctx, o, DeltaPrefix, b.Delta)
+	if err != nil {
+		return nil, err
+	}
+	var d block.Delta
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, fault.Wrap(fault.KindInvalidTable, err, "%s can't be read", b.Delta)
+	}
+	t, err := held.Apply(d)
+	if err != nil {
+		return nil, err
+	}
+	if t.Len() != b.Count {
+		return nil, fault.New(fault.KindInvalidTable, "%d blocks after the difference in place of %d", t.Len(), b.Count)
+	}
+	return t, nil
+}
+
+// getHashed reads an object that is named by its hash.
+func getHashed(ctx context.Context, o platform.Objects, prefix, name string) ([]byte, error) {
+	data, found, err := o.GetObject(ctx, name)
 	if err != nil {
 		return nil, err
 	}
 	if !found {
-		return nil, fault.New(fault.KindStoreUnavailable, "object %s is missing", b.Object)
+		return nil, fault.New(fault.KindStoreUnavailable, "object %s is missing", name)
+	}
+	if got := hashed(prefix, data); got != name {
+		return nil, fault.New(fault.KindInvalidTable, "the content of %s has the name %s", name, got)
 	}
-	if name := BlocksName(data); name != b.Object {
-		return nil, fault.New(fault.KindInvalidTable, "the blocks have the name %s in place of %s", name, b.Object)
+	return data, nil
+}
+
+// LoadBlocks reads the list that b names, checks its hash and its rows. Errors:
+// fault.KindStoreUnavailable, fault.KindInvalidTable.
+func LoadBlocks(ctx context.Context, o platform.Objects, b table.Blocks) (*block.Table, error) {
+	data, err := getHashed(ctx, o, BlocksPrefix, b.Object)
+	if err != nil {
+		return nil, err
 	}
 	return block.ParseFile(data, nil)
 }
