Keep the slot of an attempt that was given up until its target has moved on

Ruled out: the ledger (the shares added up to four) and the stand-in's count (queued requests count on purpose). Weighed: holding each such slot until the deadline (a live target would lose capacity to every disconnect) against evidence that the target has moved on. Change: steer keeps the slot and the region's count until the target answers something that was sent later, a request or a probe, and at most until 1 s after the deadline. A connection that the target lost or closed gives it back at once.

--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -26,7 +26,8 @@
 	writeMu    sync.Mutex
 	reviewedAt time.Time
 
-	wait waiting
+	wait   waiting
+	linger lingerings
 }
 
 // New returns a Core that refuses everything until SetTables and SetShares.
@@ -83,6 +84,7 @@
 		}
 		c.writeMu.Unlock()
 	}
+	c.linger.expire(c.nanos(now))
 	return c.wake(now)
 }
 
--- a/pkg/decision/steer/core_test.go
+++ b/pkg/decision/steer/core_test.go
@@ -228,3 +228,55 @@
 		t.Fatalf("targets lost = %d, want 2", lost)
 	}
 }
+
+func TestAbandonedAttemptKeepsItsSlotUntilTheTargetHasMovedOn(t *testing.T) {
+	tb := local()
+	for name, c := range map[string]struct {
+		kind fault.Kind
+		// then happens at 20 ns, after the first attempt was given up at 10 ns.
+		then func(c *Core, first, later Decision)
+		held int64
+	}{
+		"nothing yet":            {fault.KindCallerGone, func(*Core, Decision, Decision) {}, 1},
+		"timeout, nothing yet":   {fault.KindTargetTimeout, func(*Core, Decision, Decision) {}, 1},
+		"lost: the end knows":    {fault.KindTargetLost, func(*Core, Decision, Decision) {}, 0},
+		"answered":               {fault.KindNone, func(*Core, Decision, Decision) {}, 0},
+		"an earlier probe":       {fault.KindCallerGone, func(c *Core, f, _ Decision) { report(c, f, 9, true) }, 1},
+		"a later probe":          {fault.KindCallerGone, func(c *Core, f, _ Decision) { report(c, f, 11, true) }, 0},
+		"a later probe failed":   {fault.KindCallerGone, func(c *Core, f, _ Decision) { report(c, f, 11, false) }, 1},
+		"a later answer":         {fault.KindCallerGone, func(c *Core, _, l Decision) { c.Done(at(20), l, Result{}) }, 0},
+		"shortly after deadline": {fault.KindCallerGone, func(c *Core, _, _ Decision) { c.Tick(at(time.Second + 1)) }, 1},
+		"long after deadline":    {fault.KindCallerGone, func(c *Core, _, _ Decision) { c.Tick(at(3 * time.Second)) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := newCore(tb)
+			first := mustDispatch(t, core.Decide(at(1), newRequest(tb, at(1))))
+			core.Done(at(10), first, Result{Kind: c.kind})
+			later := first
+			later.at = core.nanos(at(15))
+			if c.kind == fault.KindCallerGone {
+				first.slot.inFlight.Add(1) // the later attempt's own
+				first.region.inFlight.Add(1)
+			}
+			c.then(core, first, later)
+			if c.kind == fault.KindCallerGone && name != "a later answer" {
+				later.release()
+			}
+			if got := first.slot.inFlight.Load(); got != c.held {
+				t.Errorf("in flight = %d, want %d", got, c.held)
+			}
+			if got := first.region.inFlight.Load(); got != c.held {
+				t.Errorf("in flight in the region = %d, want %d", got, c.held)
+			}
+		})
+	}
+}
+
+// report tells c of a probe of d's target that was sent at and answered.
+func report(c *Core, d Decision, sent time.Duration, answered bool) {
+	rep := LoadReport{Target: d.Target, At: at(sent), Healthy: answered}
+	if answered {
+		rep.Incarnation = "a"
+	}
+	c.ObserveLoad(at(20), rep)
+}
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -23,7 +23,7 @@
 	switch d.Verdict {
 	case Dispatch:
 		c.learn(ns, &d, res)
-		d.release()
+		c.end(ns, &d, res)
 	case Hop:
 		d.zone.finish(ns, res)
 	default:
@@ -33,6 +33,18 @@
 	return c.wake(now)
 }
 
+// end gives back what d took, at once unless the target may still run it.
+func (c *Core) end(now int64, d *Decision, res Result) {
+	if abandoned(res.Kind) {
+		c.linger.add(now, d)
+		return
+	}
+	d.release()
+	if res.Kind == fault.KindNone {
+		c.linger.proven(d.slot, d.at)
+	}
+}
+
 // learn takes in how an attempt at a target ended.
 func (c *Core) learn(now int64, d *Decision, res Result) {
 	s := d.slot
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -112,6 +112,9 @@
 	zone        *zoneStats
 	stats       *poolStats
 	fingerprint uint64
+	// at is when a Dispatch was decided, and deadline ends its request.
+	at       int64
+	deadline int64
 	// counted is set when the poison register counts the attempt.
 	counted bool
 }
