--- /dev/null
+++ b/pkg/cluster/slopes_test.go
@@ -0,0 +1,122 @@
+package cluster
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/capacity"
+)
+
+// slopesFile is brought up to date when it is given.
+var slopesFile = flag.String("slopes", "", "slopes file to write")
+
+// use is what one bench used in a span of time.
+type use struct {
+	writes  float64 // a second
+	watcher float64 // bytes a second at the busiest instance
+	inForce float64 // seconds to the last instance
+}
+
+// useOf runs n instances in zones.
+func useOf(t *testing.T, n, zones int) (u use) {
+	synctest.Test(t, func(t *testing.T) {
+		b := settled(t, uint64(n), n, zones, 0)
+		defer b.stop()
+		b.net.mu.Lock()
+		clear(b.net.byAddr)
+		b.net.mu.Unlock()
+		writes := b.store.writes.Load()
+		const span = 20 * time.Second
+		time.Sleep(span)
+		u.writes = float64(b.store.writes.Load()-writes) / span.Seconds()
+		b.net.mu.Lock()
+		for _, v := range b.net.byAddr {
+			u.watcher = max(u.watcher, float64(v)/span.Seconds())
+		}
+		b.net.mu.Unlock()
+		for v := range uint64(5) {
+			b.store.accept(testTables(v+2, zones))
+			for _, d := range spreadOf(b, v+2, time.Minute) {
+				u.inForce = max(u.inForce, d.Seconds())
+			}
+			time.Sleep(1700 * time.Millisecond)
+		}
+	})
+	return u
+}
+
+// churnWrites returns the writes that the start and end of instances cost,
+// each, beyond those of a zone at rest.
+func churnWrites(t *testing.T, starts int) (extra float64) {
+	synctest.Test(t, func(t *testing.T) {
+		b := settled(t, 5, 4, 1, 0)
+		defer b.stop()
+		writes := func(span time.Duration) float64 {
+			before := b.store.writes.Load()
+			time.Sleep(span)
+			return float64(b.store.writes.Load() - before)
+		}
+		const span = 60 * time.Second
+		rest := writes(span)
+		before := b.store.writes.Load()
+		for i := range starts {
+			n := b.start(fmt.Sprintf("late-%d", i), zoneName(0, 1))
+			time.Sleep(span / time.Duration(2*starts))
+			b.kill(n)
+			time.Sleep(span / time.Duration(2*starts))
+		}
+		extra = float64(b.store.writes.Load()-before) - rest
+	})
+	return extra
+}
+
+func TestSlopes(t *testing.T) {
+	sizes, zones, starts := []int{2, 4}, []int{1, 2}, 1
+	if *slopesFile != "" {
+		sizes, zones, starts = []int{2, 8, 16, 32, 64}, []int{1, 3, 6, 12}, 2
+	}
+	var inForce, heartbeat, ledger []capacity.Point
+	for _, n := range sizes {
+		u := useOf(t, n, 1)
+		inForce = append(inForce, capacity.Point{X: float64(n), Y: u.inForce})
+		heartbeat = append(heartbeat, capacity.Point{X: float64(n), Y: u.watcher})
+	}
+	for _, z := range zones {
+		ledger = append(ledger, capacity.Point{X: float64(z), Y: useOf(t, 2*z, z).writes})
+	}
+	var churn []capacity.Point
+	for _, n := range []int{starts, 2 * starts} {
+		churn = append(churn, capacity.Point{X: float64(2 * n), Y: churnWrites(t, n)})
+	}
+	slopes := capacity.Slopes{}
+	add := func(name, unit, what string, points []capacity.Point) {
+		l := capacity.Fit(points)
+		slopes[name] = capacity.Slope{
+			Name: name, Unit: unit, Measured: true, Intercept: l.Intercept, Slope: l.Slope, Low: l.Slope, High: l.Slope, Runs: 1,
+			Points: points, Note: what + "; virtual time, no loss, decisions not attached",
+			Command: "go test ./pkg/cluster -run TestSlopes -args -slopes ../../docs/capacity/slopes-shared.yaml",
+		}
+		t.Logf("%s: %v", name, l)
+	}
+	add("in_force_seconds", "s a daemon of the zone", "the largest of 5 edits", inForce)
+	add("heartbeat_bytes_per_s", "B/s a daemon of the zone", "all messages of the busiest watcher, both ways", heartbeat)
+	add("ledger_writes_per_s", "writes/s a zone", "two instances a zone", ledger)
+	add("churn_writes", "writes a start or end of an instance", "registration, row and reclaim", churn)
+	if w := slopes["ledger_writes_per_s"].Slope; w > 1 {
+		t.Errorf("a zone makes %.2f writes a second", w)
+	}
+	if *slopesFile == "" {
+		return
+	}
+	data, err := slopes.Format()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(*slopesFile, data, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
