--- a/pkg/cluster/chaos_test.go
+++ b/pkg/cluster/chaos_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -15,12 +14,11 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "5")
+	seeded.Fix(20261204, 5)
 	goleak.VerifyTestMain(m)
 }
 
@@ -218,7 +216,7 @@
 	c.net.mu.Unlock()
 	switch kind {
 	case 3:
-		c.store.down.Store(!c.store.down.Load())
+		c.store.setDown(!c.store.isDown())
 	case 4:
 		c.end(n)
 		c.join(n.addr)
@@ -272,7 +270,7 @@
 		c.strike(s.Kind, s.Instance, s.For)
 		broken = c.run(s.Then)
 	}
-	c.store.down.Store(false)
+	c.store.setDown(false)
 	c.net.mu.Lock()
 	c.net.loss = 0
 	c.net.mu.Unlock()
