Sign the tests' certificates by one stand-in authority

Two tests made certificates, each by code of its own. pkg/standin/authority does it for both; what they check is as before. go test -race passes on pkg/peer/instance and on the tests of certificates in cmd/jacinthramp.

--- a/cmd/jacinthramp/tls_test.go
+++ b/cmd/jacinthramp/tls_test.go
@@ -1,20 +1,9 @@
 package main
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"errors"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -26,40 +15,21 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/authority"
 	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
 )
 
-// certify writes a certificate for 127.0.0.1 of a new authority.
+// certify writes a certificate of a new authority.
 func certify(t *testing.T) settings.TLS {
-	dir := t.TempDir()
-	caKey, caErr := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	key, keyErr := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	from, to := time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
-	ca := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "skupni"}, NotBefore: from, NotAfter: to,
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	leaf := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "certdesk"}, NotBefore: from, NotAfter: to,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	caDER, selfErr := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
-	leafDER, signErr := x509.CreateCertificate(rand.Reader, leaf, ca, &key.PublicKey, caKey)
-	keyDER, encodeErr := x509.MarshalECPrivateKey(key)
-	if err := errors.Join(caErr, keyErr, selfErr, signErr, encodeErr); err != nil {
+	a, err := authority.New("skupni")
+	if err != nil {
 		t.Fatal(err)
 	}
-	write := func(name, kind string, der []byte) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	return settings.TLS{
-		Certificate: write("cert.pem", "CERTIFICATE", leafDER), Key: write("key.pem", "EC PRIVATE KEY", keyDER),
-		Authority: write("ca.pem", "CERTIFICATE", caDER), Admin: true,
+	f, err := a.Write(t.TempDir(), "certdesk", time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
 	}
+	return settings.TLS{Certificate: f.Certificate, Key: f.Key, Authority: f.Authority, Admin: true}
 }
 
 // start runs an instance on the bench's platform until the end of the test.
--- a/pkg/peer/instance/peer_test.go
+++ b/pkg/peer/instance/peer_test.go
@@ -3,19 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/binary"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +18,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/standin/authority"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -144,68 +137,24 @@
 	}
 }
 
-// authority signs certificates for the tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T, name string) *authority {
-	a := &authority{key: newKey(t)}
-	a.cert = a.sign(t, &x509.Certificate{
-		Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}, &a.key.PublicKey)
-	return a
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return k
-}
+// signer is an authority of a test.
+type signer struct{ *authority.Authority }
 
-func (a *authority) sign(t *testing.T, c *x509.Certificate, pub *ecdsa.PublicKey) *x509.Certificate {
-	c.SerialNumber = big.NewInt(time.Now().UnixNano())
-	parent := a.cert
-	if parent == nil {
-		parent = c
-	}
-	der, err := x509.CreateCertificate(rand.Reader, c, parent, pub, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
+func newAuthority(t *testing.T, name string) signer {
+	a, err := authority.New(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return cert
+	return signer{a}
 }
 
 // files writes an identity that is valid until notAfter.
-func (a *authority) files(t *testing.T, dir, name string, notAfter time.Time) Files {
-	key := newKey(t)
-	cert := a.sign(t, &x509.Certificate{
-		Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: notAfter,
-	}, &key.PublicKey)
-	der, err := x509.MarshalECPrivateKey(key)
+func (a signer) files(t *testing.T, dir, name string, notAfter time.Time) Files {
+	f, err := a.Write(dir, name, notAfter)
 	if err != nil {
 		t.Fatal(err)
 	}
-	write := func(file, kind string, der []byte) string {
-		path := filepath.Join(dir, file)
-		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	return Files{
-		Certificate: write("cert.pem", "CERTIFICATE", cert.Raw),
-		Key:         write("key.pem", "EC PRIVATE KEY", der),
-		Authority:   write("authority.pem", "CERTIFICATE", a.cert.Raw),
-	}
+	return Files(f)
 }
 
 func identity(t *testing.T, f Files) *Identity {
--- /dev/null
+++ b/pkg/standin/authority/authority.go
@@ -0,0 +1,89 @@
+// Package authority is a stand-in for the authority that signs the instances'
+// and the operators' certificates. Its keys live in memory and hold an hour.
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Authority signs certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Files names the PEM files of one certificate.
+type Files struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// lifetime is how long the authority's own certificate is valid.
+const lifetime = time.Hour
+
+// New returns an authority with a new key.
+func New(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	a := &Authority{key: key}
+	own := &x509.Certificate{
+		Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-lifetime), NotAfter: time.Now().Add(lifetime), KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert, err = a.sign(own, own, &key.PublicKey)
+	return a, err
+}
+
+// sign returns the certificate that template describes.
+func (a *Authority) sign(template, parent *x509.Certificate, key *ecdsa.PublicKey) (*x509.Certificate, error) {
+	template.SerialNumber = big.NewInt(time.Now().UnixNano())
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key, a.key)
+	if err != nil {
+		return nil, err
+	}
+	return x509.ParseCertificate(der)
+}
+
+// Write writes a new key, its certificate for 127.0.0.1 that is valid until
+// notAfter, and the authority's, to files of dir.
+func (a *Authority) Write(dir, name string, notAfter time.Time) (Files, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Files{}, err
+	}
+	cert, err := a.sign(&x509.Certificate{
+		Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-lifetime), NotAfter: notAfter,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}, a.cert, &key.PublicKey)
+	if err != nil {
+		return Files{}, err
+	}
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Files{}, err
+	}
+	f := Files{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "authority.pem")}
+	return f, errors.Join(
+		write(f.Certificate, "CERTIFICATE", cert.Raw),
+		write(f.Key, "EC PRIVATE KEY", der),
+		write(f.Authority, "CERTIFICATE", a.cert.Raw),
+	)
+}
+
+func write(path, kind string, der []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
