Test what the instances share against the platform's stand-in

Change: the store and the list are two stand-ins of pkg/standin/platform; inZone frames the tests of one zone. Every case, bound and assertion stays.

--- a/pkg/cluster/chaos_test.go
+++ b/pkg/cluster/chaos_test.go
@@ -218,7 +218,7 @@
 	c.net.mu.Unlock()
 	switch kind {
 	case 3:
-		c.store.down.Store(!c.store.down.Load())
+		c.store.setDown(!c.store.isDown())
 	case 4:
 		c.end(n)
 		c.join(n.addr)
@@ -272,7 +272,7 @@
 		c.strike(s.Kind, s.Instance, s.For)
 		broken = c.run(s.Then)
 	}
-	c.store.down.Store(false)
+	c.store.setDown(false)
 	c.net.mu.Lock()
 	c.net.loss = 0
 	c.net.mu.Unlock()
--- a/pkg/cluster/cluster_test.go
+++ b/pkg/cluster/cluster_test.go
@@ -27,6 +27,24 @@
 	}
 }
 
+// inZone plays a test in virtual time on n instances of one zone that share the
+// slots of one target, in its first version of the tables.
+func inZone(t *testing.T, n int, play func(t *testing.T, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(uint64(n))
+		defer b.stop()
+		b.seeds = []string{"instance-000", "instance-001"}
+		b.store.accept(testTables(1, 1))
+		startAll(b, n, 1)
+		until(t, 5*time.Second, "all shares granted", func() bool { return b.allInForce(1) && b.shared() })
+		play(t, b)
+	})
+}
+
+// shared reports whether all slots of the target are usable.
+func (b *bench) shared() bool { return b.usable("feedlog-0") == 4 }
+
 func TestInstancesServeAndShareFromTheStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(1)
@@ -41,27 +59,17 @@
 }
 
 func TestSharesOfAKilledInstanceComeBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(2)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		startAll(b, 2, 1)
-		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+	inZone(t, 2, func(t *testing.T, b *bench) {
 		b.kill(b.nodes[0])
-		took := until(t, 30*time.Second, "shares reclaimed", func() bool { return b.usable("feedlog-0") == 4 })
+		took := until(t, 30*time.Second, "shares reclaimed", b.shared)
 		t.Logf("reclaimed after %v", took)
 	})
 }
 
 func TestAStoreOutageStopsNoSharing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(3)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		startAll(b, 3, 1)
-		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+	inZone(t, 3, func(t *testing.T, b *bench) {
 		time.Sleep(5 * time.Second) // a share on its way between holders waits for the store
-		b.store.down.Store(true)
+		b.store.setDown(true)
 		for i := range 11 * 60 {
 			time.Sleep(time.Second)
 			if got := b.usable("feedlog-0"); got != 4 {
@@ -72,12 +80,7 @@
 }
 
 func TestAHandedBackShareIsUsedByOthersSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(4)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		startAll(b, 2, 1)
-		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+	inZone(t, 2, func(t *testing.T, b *bench) {
 		n := b.nodes[0]
 		if err := n.Leave(t.Context()); err != nil {
 			t.Fatal(err)
@@ -86,18 +89,13 @@
 			t.Fatal(err)
 		}
 		b.kill(n)
-		took := until(t, 4*time.Second, "shares taken over", func() bool { return b.usable("feedlog-0") == 4 })
+		took := until(t, 4*time.Second, "shares taken over", b.shared)
 		t.Logf("taken over %v after the hand-back", took)
 	})
 }
 
 func TestANewVersionIsInForceEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(5)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		startAll(b, 20, 1)
-		until(t, 5*time.Second, "first version", func() bool { return b.allInForce(1) })
+	inZone(t, 20, func(t *testing.T, b *bench) {
 		time.Sleep(2 * time.Second)
 		b.store.accept(testTables(2, 1))
 		took := until(t, 2*time.Second, "second version", func() bool { return b.allInForce(2) })
@@ -143,15 +141,9 @@
 func TestAnInstanceStartsFromAPeerWhileTheStoreIsDown(t *testing.T) {
 	for name, listDown := range map[string]bool{"list up": false, "list down, seeds known": true} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				b := newBench(6)
-				defer b.stop()
-				b.seeds = []string{"instance-000", "instance-001"}
-				b.store.accept(testTables(1, 1))
-				startAll(b, 3, 1)
-				until(t, 5*time.Second, "first version", func() bool { return b.allInForce(1) })
-				b.store.down.Store(true)
-				b.store.listDown.Store(listDown)
+			inZone(t, 3, func(t *testing.T, b *bench) {
+				b.store.setDown(true)
+				b.store.setListDown(listDown)
 				late := b.start("instance-late", zoneName(0, 1))
 				took := until(t, 2*time.Second, "tables at the late instance", func() bool { return late.Tables() != nil })
 				t.Logf("tables after %v", took)
@@ -165,29 +157,24 @@
 		b := newBench(7)
 		defer b.stop()
 		b.store.accept(testTables(1, 1))
-		b.store.down.Store(true)
-		b.store.listDown.Store(true)
+		b.store.setDown(true)
+		b.store.setListDown(true)
 		n := b.start("instance-0", zoneName(0, 1))
 		time.Sleep(time.Minute)
 		if n.Tables() != nil || len(n.Shares().Slots) > 0 {
 			t.Fatal("an instance without any source serves")
 		}
-		b.store.down.Store(false)
-		b.store.listDown.Store(false)
-		took := until(t, 20*time.Second, "healed", func() bool { return b.usable("feedlog-0") == 4 })
+		b.store.setDown(false)
+		b.store.setListDown(false)
+		took := until(t, 20*time.Second, "healed", b.shared)
 		t.Logf("serving %v after the platform came back", took)
 	})
 }
 
 func TestTheOtherOfTwoGoesOnWhenOneEndsInAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(9)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		startAll(b, 2, 1)
-		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+	inZone(t, 2, func(t *testing.T, b *bench) {
 		time.Sleep(5 * time.Second)
-		b.store.down.Store(true)
+		b.store.setDown(true)
 		time.Sleep(20 * time.Second)
 		b.kill(b.nodes[0])
 		for i := range 60 {
@@ -205,10 +192,10 @@
 		defer b.stop()
 		b.store.accept(testTables(1, 1))
 		n := b.start("instance-0", zoneName(0, 1))
-		until(t, 5*time.Second, "all shares granted", func() bool { return b.usable("feedlog-0") == 4 })
+		until(t, 5*time.Second, "all shares granted", b.shared)
 		b.kill(n)
 		b.start("instance-0", zoneName(0, 1))
-		took := until(t, 8*time.Second, "shares at the successor", func() bool { return b.usable("feedlog-0") == 4 })
+		took := until(t, 8*time.Second, "shares at the successor", b.shared)
 		t.Logf("shares at the successor after %v", took)
 	})
 }
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,149 +18,71 @@
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	standin "github.com/jacinthramp/jacinthramp/pkg/standin/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 	"github.com/jacinthramp/jacinthramp/pkg/tablestore"
 )
 
-// fakeStore is the platform in memory.
+// fakeStore is the platform's stand-in, with a list of instances whose faults
+// are its own.
 type fakeStore struct {
-	mu        sync.Mutex
-	rows      map[string]platform.Row
-	objects   map[string][]byte
-	instances map[string]platform.Instance
-	etag      int
-	tables    *table.Tables
-	down      atomic.Bool
-	listDown  atomic.Bool
-	reads     atomic.Int64
-	writes    atomic.Int64
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}, instances: map[string]platform.Instance{}}
+	*standin.Store
+	list   *standin.Store
+	tables *table.Tables
 }
 
 const storeDelay = 4 * time.Millisecond
 
-func (s *fakeStore) reach(ctx context.Context, n *atomic.Int64) error {
-	return s.try(ctx, n, &s.down)
-}
-
-func (s *fakeStore) try(ctx context.Context, n *atomic.Int64, down *atomic.Bool) error {
-	n.Add(1)
-	if down.Load() {
-		<-ctx.Done()
-		return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "down")
-	}
-	time.Sleep(storeDelay)
-	return nil
-}
-
-func (s *fakeStore) Get(ctx context.Context, key, ifNoneMatch string) (platform.Row, bool, error) {
-	if err := s.reach(ctx, &s.reads); err != nil {
-		return platform.Row{}, false, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.rows[key]
-	if r.ETag != "" && r.ETag == ifNoneMatch {
-		return platform.Row{}, false, nil
-	}
-	return r, true, nil
-}
-
-func (s *fakeStore) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
-
-func (s *fakeStore) Commit(ctx context.Context, ws []platform.Write) ([]string, error) {
-	if err := s.reach(ctx, &s.writes); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, w := range ws {
-		if s.rows[w.Key].ETag != w.IfMatch {
-			return nil, fault.New(fault.KindEditConflict, "row %s has changed", w.Key)
-		}
-	}
-	var etags []string
-	for _, w := range ws {
-		s.etag++
-		e := fmt.Sprint(s.etag)
-		s.rows[w.Key] = platform.Row{Key: w.Key, ETag: e, Value: w.Value, ModifiedAt: time.Now()}
-		etags = append(etags, e)
-	}
-	return etags, nil
+func newFakeStore() *fakeStore {
+	s := &fakeStore{Store: standin.New(nil), list: standin.New(nil)}
+	s.setDown(false)
+	s.setListDown(false)
+	return s
 }
 
-func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects[name] = data
-	return nil
+// setDown lets the table service and the object store answer, or not.
+func (s *fakeStore) setDown(down bool) {
+	s.SetFaults(standin.Faults{Silent: down, Delay: table.Duration(storeDelay)})
 }
 
-func (s *fakeStore) GetObject(ctx context.Context, name string) ([]byte, bool, error) {
-	if err := s.reach(ctx, &s.reads); err != nil {
-		return nil, false, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d, ok := s.objects[name]
-	return d, ok, nil
+// setListDown lets the list answer, or not.
+func (s *fakeStore) setListDown(down bool) {
+	s.list.SetFaults(standin.Faults{Silent: down, Delay: table.Duration(storeDelay)})
 }
 
-func (s *fakeStore) ListInstances(ctx context.Context) ([]platform.Instance, error) {
-	if err := s.try(ctx, &s.reads, &s.listDown); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.instances)), nil
-}
+func (s *fakeStore) isDown() bool { return s.Faults().Silent }
 
-func (s *fakeStore) Register(ctx context.Context, in platform.Instance) error {
-	if err := s.try(ctx, &s.writes, &s.listDown); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances[in.ID] = in
-	return nil
-}
+func (s *fakeStore) reads() int64 { return int64(s.Stats().Reads + s.list.Stats().Reads) }
 
-func (s *fakeStore) Deregister(ctx context.Context, id, incarnation string) error {
-	if err := s.try(ctx, &s.writes, &s.listDown); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.instances[id].Incarnation == incarnation {
-		delete(s.instances, id)
-	}
-	return nil
-}
+func (s *fakeStore) writes() int64 { return int64(s.Stats().Writes + s.list.Stats().Writes) }
 
-// accept stores tables as an operator's edit does.
+// accept stores tables as an operator's edit does, whatever faults are on.
 func (s *fakeStore) accept(t *table.Tables) {
+	faults := s.Faults()
+	s.SetFaults(standin.Faults{})
+	defer s.SetFaults(faults)
 	name, data, err := tablestore.Encode(t)
-	if err != nil {
-		panic(err)
-	}
+	check(err)
 	head, err := json.Marshal(tablestore.Head{Version: t.Version, EditID: "e", Author: "a", Object: name})
-	if err != nil {
-		panic(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects[name] = data
+	check(err)
+	ctx := context.Background()
+	check(s.PutObject(ctx, name, data))
 	if s.tables != nil {
 		from, _, _ := tablestore.Encode(s.tables)
 		patch, _ := json.Marshal(map[string]any{"from": from, "patch": table.PatchOf(s.tables, t)})
-		s.objects[tablestore.PatchPrefix+name] = patch
+		check(s.PutObject(ctx, tablestore.PatchPrefix+name, patch))
 	}
 	s.tables = t
-	s.etag++
-	s.rows[tablestore.CurrentKey] = platform.Row{Key: tablestore.CurrentKey, ETag: fmt.Sprint("t", s.etag), Value: head, ModifiedAt: time.Now()}
+	row, _, err := s.Get(ctx, tablestore.CurrentKey, "")
+	check(err)
+	_, err = s.Commit(ctx, []platform.Write{{Key: tablestore.CurrentKey, IfMatch: row.ETag, Value: head}})
+	check(err)
+}
+
+func check(err error) {
+	if err != nil {
+		panic(err)
+	}
 }
 
 // fakeNet carries calls between clusters of one test.
@@ -283,7 +204,7 @@
 		PeerAddress: id, CallerAddress: id, HopAddress: id, AdminAddress: id,
 	}
 	c := New(Config{
-		Self: in, Timing: DefaultTiming(), Tables: b.store, Objects: b.store, Instances: b.store,
+		Self: in, Timing: DefaultTiming(), Tables: b.store, Objects: b.store, Instances: b.store.list,
 		Seeds: b.seeds, Peers: port{b.net, id}, Log: zap.NewNop(), Rand: b.net.float,
 	})
 	c.ledger = allowance.NewLedger(c.self, in.PeerAddress, c.timing.Allowance, b.rules)
--- a/pkg/cluster/measure_test.go
+++ b/pkg/cluster/measure_test.go
@@ -118,8 +118,8 @@
 				defer b.stop()
 				b.store.accept(testTables(2, measuredZones))
 				time.Sleep(head)
-				b.store.down.Store(true)
-				time.AfterFunc(outage, func() { b.store.down.Store(false) })
+				b.store.setDown(true)
+				time.AfterFunc(outage, func() { b.store.setDown(false) })
 				took := spreadOf(b, 2, time.Minute)
 				slices.Sort(took)
 				most := took[len(took)-1] + head
@@ -138,7 +138,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			b := settled(t, uint64(n), n, measuredZones, 0)
 			defer b.stop()
-			reads, writes := b.store.reads.Load(), b.store.writes.Load()
+			reads, writes := b.store.reads(), b.store.writes()
 			messages, bytes := b.net.messages.Load(), b.net.bytes.Load()
 			b.net.mu.Lock()
 			before, methods := maps.Clone(b.net.byAddr), maps.Clone(b.net.byMethod)
@@ -151,7 +151,7 @@
 				most = max(most, v-before[a])
 			}
 			rate := func(v int64) float64 { return float64(v) / span.Seconds() }
-			readRate, writeRate := rate(b.store.reads.Load()-reads), rate(b.store.writes.Load()-writes)
+			readRate, writeRate := rate(b.store.reads()-reads), rate(b.store.writes()-writes)
 			t.Logf("| %d | %.1f | %.2f | %.1f | %.0f | %.0f |", n, readRate, writeRate,
 				rate(b.net.messages.Load()-messages)/float64(n), 2*rate(b.net.bytes.Load()-bytes)/float64(n), rate(most))
 			for _, m := range []instance.Method{instance.MethodHeartbeat, instance.MethodZone} {
--- a/pkg/cluster/slopes_test.go
+++ b/pkg/cluster/slopes_test.go
@@ -29,10 +29,10 @@
 		b.net.mu.Lock()
 		clear(b.net.byAddr)
 		b.net.mu.Unlock()
-		writes := b.store.writes.Load()
+		writes := b.store.writes()
 		const span = 20 * time.Second
 		time.Sleep(span)
-		u.writes = float64(b.store.writes.Load()-writes) / span.Seconds()
+		u.writes = float64(b.store.writes()-writes) / span.Seconds()
 		b.net.mu.Lock()
 		for _, v := range b.net.byAddr {
 			u.watcher = max(u.watcher, float64(v)/span.Seconds())
@@ -56,20 +56,20 @@
 		b := settled(t, 5, 4, 1, 0)
 		defer b.stop()
 		writes := func(span time.Duration) float64 {
-			before := b.store.writes.Load()
+			before := b.store.writes()
 			time.Sleep(span)
-			return float64(b.store.writes.Load() - before)
+			return float64(b.store.writes() - before)
 		}
 		const span = 60 * time.Second
 		rest := writes(span)
-		before := b.store.writes.Load()
+		before := b.store.writes()
 		for i := range starts {
 			n := b.start(fmt.Sprintf("late-%d", i), zoneName(0, 1))
 			time.Sleep(span / time.Duration(2*starts))
 			b.kill(n)
 			time.Sleep(span / time.Duration(2*starts))
 		}
-		extra = float64(b.store.writes.Load()-before) - rest
+		extra = float64(b.store.writes()-before) - rest
 	})
 	return extra
 }
