--- a/pkg/cluster/chaos_test.go
+++ b/pkg/cluster/chaos_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -15,12 +14,11 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "5")
+	seeded.Fix(20261204, 5)
 	goleak.VerifyTestMain(m)
 }
 
--- a/pkg/decision/allowance/world_test.go
+++ b/pkg/decision/allowance/world_test.go
@@ -1,20 +1,15 @@
 package allowance
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "60")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 20261204, 60) }
 
 // faultKind is one kind of fault in a world's schedule.
 type faultKind int
--- a/pkg/decision/block/block_test.go
+++ b/pkg/decision/block/block_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -15,14 +13,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "6")
-	_ = flag.Set("rapid.checks", "150")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 6, 150) }
 
 var sites = []string{"s0", "s1", "s2", "s3"}
 
--- a/pkg/decision/conngen/conngen_test.go
+++ b/pkg/decision/conngen/conngen_test.go
@@ -1,21 +1,16 @@
 package conngen
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "7412")
-	flag.Set("rapid.checks", "500")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 7412, 500) }
 
 // tracker is what the properties check; a mutation replaces parts of it.
 type tracker interface {
--- a/pkg/decision/lookup/lookup_test.go
+++ b/pkg/decision/lookup/lookup_test.go
@@ -1,24 +1,18 @@
 package lookup
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "7413")
-	flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 7413, 300) }
 
 func drawInstances(t *rapid.T) []Instance {
 	n := rapid.IntRange(0, 40).Draw(t, "instances")
--- a/pkg/decision/member/member_test.go
+++ b/pkg/decision/member/member_test.go
@@ -1,21 +1,16 @@
 package member
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 20261204, 300) }
 
 var start = time.Unix(1000, 0)
 
--- a/pkg/decision/outcome/main_test.go
+++ b/pkg/decision/outcome/main_test.go
@@ -1,14 +1,9 @@
 package outcome
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "7411")
-	flag.Set("rapid.checks", "400")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 7411, 400) }
--- a/pkg/decision/poison/poison_test.go
+++ b/pkg/decision/poison/poison_test.go
@@ -1,21 +1,16 @@
 package poison
 
 import (
-	"flag"
-	"os"
 	"reflect"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "31")
-	_ = flag.Set("rapid.checks", "200")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 31, 200) }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/decision/retry/budget_test.go
+++ b/pkg/decision/retry/budget_test.go
@@ -1,18 +1,14 @@
 package retry
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "41")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 41, 100) }
 
 func TestFurtherAttemptsStayWithinTheRatio(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/pkg/decision/spill/spill_test.go
+++ b/pkg/decision/spill/spill_test.go
@@ -1,21 +1,17 @@
 package spill
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "51")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 51, 100) }
 
 func TestRegionsTogetherFollowThePlan(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/pkg/decision/spread/spread_test.go
+++ b/pkg/decision/spread/spread_test.go
@@ -1,22 +1,17 @@
 package spread
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 20261204, 300) }
 
 func TestVersionsOnlyRise(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/decision/steer/fixture_test.go
+++ b/pkg/decision/steer/fixture_test.go
@@ -1,22 +1,16 @@
 package steer
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "11")
-	_ = flag.Set("rapid.checks", "100")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 11, 100) }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/table/rapid_test.go
+++ b/pkg/table/rapid_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -12,14 +10,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/test/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "3")
-	_ = flag.Set("rapid.checks", "300")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 3, 300) }
 
 // genDuration draws a time span, or zero for the default.
 func genDuration() *rapid.Generator[Duration] {
--- /dev/null
+++ b/test/seeded/seeded.go
@@ -0,0 +1,37 @@
+// Package seeded runs a package's property tests with a fixed seed, so that
+// they give the same verdict every time.
+package seeded
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+
+	_ "pgregory.net/rapid" // defines the flags that are set here
+)
+
+// Main runs the tests of a package as Fix says.
+func Main(m *testing.M, seed uint64, checks int) {
+	Fix(seed, checks)
+	os.Exit(m.Run())
+}
+
+// Fix sets the seed and the number of checks for each property. The flags
+// -rapid.seed and -rapid.checks of the command line win.
+func Fix(seed uint64, checks int) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed":   strconv.FormatUint(seed, 10),
+		"rapid.checks": strconv.Itoa(checks),
+	} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
