--- a/pkg/cluster/measure_test.go
+++ b/pkg/cluster/measure_test.go
@@ -13,7 +13,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
-// measure sets the sizes to run; see docs/measurements.d/shared.md.
+// measure sets the sizes to run; see docs/MEASUREMENTS.md.
 var measure = flag.String("measure", "", "numbers of instances to measure at, such as 11,50,100,200,300")
 
 // measuredSizes returns the sizes asked for, or the smallest.
--- a/test/bench/measure_test.go
+++ b/test/bench/measure_test.go
@@ -114,7 +114,7 @@
 	return func(time.Duration) float64 { return load }
 }
 
-// BenchmarkMeasure prints the figures of docs/measurements.d/decide.md. Run it
+// BenchmarkMeasure prints the figures of docs/MEASUREMENTS.md. Run it
 // with -benchtime=1x.
 func BenchmarkMeasure(b *testing.B) {
 	fmt.Println("| service | scenario | policy | p50 ms | p99 ms | goodput / capacity | completed / sent | attempts / first | overshoot |")
