Let a refused address end every earlier incarnation of its instance

The refused connection was noted for the newest incarnation only, while the row held the shares of the one before. Ruled out: the lease (a lone holder without witnesses waits ten minutes by design). Change: what refuses connections at an address is no earlier incarnation either.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -251,7 +251,7 @@
 	reached := err == nil || (fault.KindOf(err) != fault.KindPeerUnavailable && fault.KindOf(err) != fault.KindNone)
 	c.view.ObserveCall(time.Now(), to.ID, reached)
 	if instance.IsRefused(err) {
-		c.reclaimer.ObserveDeath(time.Now(), keyOf(to))
+		c.noteRefused(time.Now(), to)
 	}
 	return err
 }
--- a/pkg/cluster/cluster_test.go
+++ b/pkg/cluster/cluster_test.go
@@ -230,3 +230,14 @@
 		})
 	}
 }
+
+func TestALoneInstancesSuccessorGetsItsSharesAfterTwoEnds(t *testing.T) {
+	inZone(t, 1, func(t *testing.T, b *bench) {
+		b.kill(b.nodes[0])
+		second := b.start("instance-000", zoneName(0, 1))
+		time.Sleep(time.Second) // registered, and still without the shares of the first
+		b.kill(second)
+		b.start("instance-001", zoneName(0, 1))
+		until(t, 30*time.Second, "shares at the successor", b.shared)
+	})
+}
--- a/pkg/cluster/row.go
+++ b/pkg/cluster/row.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
@@ -203,6 +204,18 @@
 	}
 }
 
+// noteRefused takes in that nothing listens at the address of to: neither that
+// incarnation nor an earlier one of the instance, which the row may still hold,
+// is running. The caller holds mu.
+func (c *Cluster) noteRefused(now time.Time, to member.Info) {
+	c.reclaimer.ObserveDeath(now, keyOf(to))
+	for _, h := range c.ledger.Row().Holders {
+		if h.ID == to.ID && h.Address == to.PeerAddress && h.Incarnation < to.Incarnation {
+			c.reclaimer.ObserveDeath(now, h.Key)
+		}
+	}
+}
+
 // askConsents asks the witnesses, this instance included.
 func (c *Cluster) askConsents(ctx context.Context, asks []allowance.Consent) {
 	var wg conc.WaitGroup
