Fold what the tests of zones, stand-ins and processes repeat

Change: TestMain moves to the packages' tests, the cut-off zone uses the common frame and checks its version under load, times are logged where they are measured. No case, bound or assertion is dropped.

--- a/pkg/cluster/cluster_test.go
+++ b/pkg/cluster/cluster_test.go
@@ -65,8 +65,7 @@
 func TestSharesOfAKilledInstanceComeBack(t *testing.T) {
 	inZone(t, 2, func(t *testing.T, b *bench) {
 		b.kill(b.nodes[0])
-		took := until(t, 30*time.Second, "shares reclaimed", b.shared)
-		t.Logf("reclaimed after %v", took)
+		t.Logf("reclaimed after %v", until(t, 30*time.Second, "shares reclaimed", b.shared))
 	})
 }
 
@@ -93,8 +92,7 @@
 			t.Fatal(err)
 		}
 		b.kill(n)
-		took := until(t, 4*time.Second, "shares taken over", b.shared)
-		t.Logf("taken over %v after the hand-back", took)
+		t.Logf("taken over %v after the hand-back", until(t, 4*time.Second, "shares taken over", b.shared))
 	})
 }
 
@@ -102,8 +100,7 @@
 	inZone(t, 20, func(t *testing.T, b *bench) {
 		time.Sleep(2 * time.Second)
 		b.store.accept(testTables(2, 1))
-		took := until(t, 2*time.Second, "second version", func() bool { return b.allInForce(2) })
-		t.Logf("in force after %v", took)
+		t.Logf("in force after %v", until(t, 2*time.Second, "second version", func() bool { return b.allInForce(2) }))
 		bySteps := 0
 		for _, n := range b.nodes {
 			n.mu.Lock()
@@ -149,8 +146,7 @@
 				b.store.setDown(true)
 				b.store.setListDown(listDown)
 				late := b.start("instance-late", zoneName(0, 1))
-				took := until(t, 2*time.Second, "tables at the late instance", func() bool { return late.Tables() != nil })
-				t.Logf("tables after %v", took)
+				t.Logf("tables after %v", until(t, 2*time.Second, "tables at the late instance", func() bool { return late.Tables() != nil }))
 			})
 		})
 	}
@@ -170,8 +166,7 @@
 		}
 		b.store.setDown(false)
 		b.store.setListDown(false)
-		took := until(t, 20*time.Second, "healed", b.shared)
-		t.Logf("serving %v after the platform came back", took)
+		t.Logf("serving %v after the platform came back", until(t, 20*time.Second, "healed", b.shared))
 	})
 }
 
@@ -191,16 +186,10 @@
 }
 
 func TestALoneInstancesSuccessorGetsItsShares(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(10)
-		defer b.stop()
-		b.store.accept(testTables(1, 1))
-		n := b.start("instance-0", zoneName(0, 1))
-		until(t, 5*time.Second, "all shares granted", b.shared)
-		b.kill(n)
-		b.start("instance-0", zoneName(0, 1))
-		took := until(t, 8*time.Second, "shares at the successor", b.shared)
-		t.Logf("shares at the successor after %v", took)
+	inZone(t, 1, func(t *testing.T, b *bench) {
+		b.kill(b.nodes[0])
+		b.start("instance-000", zoneName(0, 1))
+		t.Logf("shares at the successor after %v", until(t, 8*time.Second, "shares at the successor", b.shared))
 	})
 }
 
--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -8,10 +8,14 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/load"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestDemoServesThroughItsEvents(t *testing.T) {
 	var lines []string
 	rep, err := Run(t.Context(), Options{Rate: 150, Step: 400 * time.Millisecond, Progress: func(l string) { lines = append(lines, l) }})
--- a/pkg/standin/platform/control_test.go
+++ b/pkg/standin/platform/control_test.go
@@ -8,9 +8,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/jacinthramp/jacinthramp/test/strict"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func put(t *testing.T, h http.Handler, path, body string) *httptest.ResponseRecorder {
 	t.Helper()
 	rec := httptest.NewRecorder()
--- a/pkg/standin/platform/main_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package platform
-
-import (
-	"testing"
-
-	"go.uber.org/goleak"
-)
-
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/pkg/standin/target/control_test.go
+++ b/pkg/standin/target/control_test.go
@@ -7,9 +7,13 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/goleak"
+
 	"github.com/jacinthramp/jacinthramp/test/strict"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestControlsActOnTheNamedTarget(t *testing.T) {
 	g := NewGroup([]Config{{Name: "a", Address: "127.0.0.1:0"}, {Name: "b", Address: "127.0.0.1:0"}}, NewRecorder(nil))
 	if err := g.Start(); err != nil {
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -93,19 +93,15 @@
 }
 
 func TestZoneCutOffFromThePlatformServes(t *testing.T) {
-	s := newSystem(t)
-	p := s.load("load", 9)
-	time.Sleep(hold / 2)
-	s.links["osrednja-b"].cut(true)
-	run(t, "drain", "--platform", s.platform, "--target", "certdesk-0", "--reason", "while a zone is cut off")
-	time.Sleep(2 * hold)
-	s.links["osrednja-b"].cut(false)
-	s.reportAfter(p)
-	for _, in := range s.instances {
-		eventually(t, "the drain is in force on "+in.name, func() bool { return s.version(in) == 2 })
-	}
-	s.serves("after")
-	s.withinSlots()
+	underLoad(t, 9, func(s *system) {
+		s.links["osrednja-b"].cut(true)
+		run(t, "drain", "--platform", s.platform, "--target", "certdesk-0", "--reason", "while a zone is cut off")
+		time.Sleep(2 * hold)
+		s.links["osrednja-b"].cut(false)
+		for _, in := range s.instances {
+			eventually(t, "the drain is in force on "+in.name, func() bool { return s.version(in) == 2 })
+		}
+	})
 }
 
 func TestSilentConnectionsAndCrashingTargets(t *testing.T) {
