Notice that a caller has gone also after the last request of its connection

Change: what follows the last request is read away, up to 1 MiB, until it has been answered; the end of the connection ends the request.

--- a/pkg/peer/caller/pipeline/conn.go
+++ b/pkg/peer/caller/pipeline/conn.go
@@ -25,6 +25,9 @@
 	lingerTime = 500 * time.Millisecond
 	// errorWriteTimeout bounds the writing of an answer to an unreadable request.
 	errorWriteTimeout = time.Second
+	// maxSurplusBytes bounds what is read away behind a caller's last request.
+	// Beyond it the caller waits until the connection ends.
+	maxSurplusBytes = 1 << 20
 )
 
 // conn is one caller's connection.
@@ -105,11 +108,39 @@
 		}
 		if !c.handle(r) {
 			c.leaveUnread()
+			c.watchCaller()
 			return
 		}
 	}
 }
 
+// watchCaller reads away what follows the last request until that has been
+// answered. A caller that goes away meanwhile ends its requests.
+func (c *conn) watchCaller() {
+	if !c.armIdle() {
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(c.net, maxSurplusBytes))
+	if n == maxSurplusBytes || isTimeout(err) {
+		return
+	}
+	c.callerGone()
+}
+
+// callerGone ends the requests of a caller that has gone away.
+func (c *conn) callerGone() {
+	c.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = true
+}
+
+// isTimeout reports whether err is the end of the time to read.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // leaveUnread notes that what the caller still sends is not read.
 func (c *conn) leaveUnread() {
 	c.mu.Lock()
@@ -153,15 +184,11 @@
 		c.unread = c.closing
 		return !c.closing
 	}
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
+	if isTimeout(err) {
 		// Idle for too long, or told to finish.
 		return false
 	}
-	c.cancel()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.broken = true
+	c.callerGone()
 	return false
 }
 
@@ -259,6 +286,7 @@
 	resp := newResponse(c, r, c.last)
 	c.last = resp
 	c.inFlight++
+	c.closing = c.closing || resp.wantsClose
 	// The handler bounds the reading of the body; a failure shows at its use.
 	_ = c.net.SetReadDeadline(time.Time{})
 	return resp
--- a/pkg/peer/caller/pipeline/pipeline_test.go
+++ b/pkg/peer/caller/pipeline/pipeline_test.go
@@ -123,6 +123,55 @@
 	<-ended
 }
 
+func TestCallerThatGoesAwayEndsTheLastRequestOfItsConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"connection ends after it":          "GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+		"older protocol":                    "GET /1 HTTP/1.0\r\nHost: x\r\n\r\n",
+		"body":                              "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody",
+		"body in chunks":                    "POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"body of a connection that goes on": "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody",
+		"bytes sent behind it":              "GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + strings.Repeat("a", 3*bufferBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan struct{})
+			_, address := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(started)
+				<-r.Context().Done()
+				close(ended)
+			})
+			c, _ := dial(t, address, text)
+			<-started
+			_ = c.Close()
+			select {
+			case <-ended:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the request goes on without its caller")
+			}
+		})
+	}
+}
+
+func TestBytesBehindTheLastRequestDoNotDisturbItsAnswer(t *testing.T) {
+	release := make(chan struct{})
+	_, address := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	text := "GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	_, br := dial(t, address, get("/0")+text+get("/2")+strings.Repeat("a", 3*bufferBytes))
+	close(release)
+	if resp, body := read(t, br); body != "/0" || resp.Close {
+		t.Errorf("answer %q, close %v", body, resp.Close)
+	}
+	if resp, body := read(t, br); body != "/1" || !resp.Close {
+		t.Errorf("answer %q, close %v", body, resp.Close)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+}
+
 func TestClosingWaitsForTheLastRequestThatWasRead(t *testing.T) {
 	both := make(chan struct{}, 2)
 	release := make(chan struct{})
