Spread objects over the regions by the room that each has

Cause: a region with few targets kept what loads them to one and a half of the mean. What it sent away went to the others by their slots, which loaded the second region above the mean. Change: package affinity: a place keeps what its targets carry at the mean load of all, the rest goes to those with room, none is loaded above 1.1 of the mean (property test, with the old spread caught).

--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -6,40 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// maxKnowing is the number of targets that are taken to know an object.
-	maxKnowing = 2
-	// homeLoad is how much more than the mean of all regions the targets of one
-	// may be loaded by its own traffic, when each region has the same traffic.
-	homeLoad = 1.5
-	// maxHome is the largest part of its objects that a region keeps; the rest
-	// lets targets elsewhere be found warm when it needs them.
-	maxHome = 0.97
-)
-
-// homeBias returns how much likelier a slot of the instance's own region is to
-// get an object than one of another region, so that a region with few slots
-// keeps what they can carry and one with many keeps nearly all.
-func (c *Core) homeBias(st *state, r *Request) float64 {
-	home, all := 0.0, 0.0
-	regions := 0
-	for _, p := range st.services[r.service] {
-		if !allowsRegion(r.Route.Regions, p.row.Region) {
-			continue
-		}
-		slots := p.openSlots
-		all += slots
-		regions++
-		if p.row.Region == c.self.Region {
-			home += slots
-		}
-	}
-	if home == 0 || home == all {
-		return 1
-	}
-	keep := min(maxHome, homeLoad*home*float64(regions)/all)
-	return keep / (1 - keep) * (all - home) / home
-}
+// maxKnowing is the number of targets that are taken to know an object.
+const maxKnowing = 2
 
 // hashOf returns the hash by which names are ranked.
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
@@ -64,18 +32,20 @@
 type rankable struct {
 	hash  uint64
 	slots float64
+	// zone is the index of the target's zone in the pool.
+	zone int
 }
 
-// addRankables notes what ranks the pool's targets, and adds up the slots of
-// those that are not drained.
+// addRankables notes what ranks the pool's targets.
 func (p *pool) addRankables() {
 	p.rankables = make([]rankable, len(p.local))
 	for i, m := range p.local {
 		slots := float64(m.target.Slots)
-		p.rankables[i] = rankable{hash: m.hash, slots: slots}
-		if !m.drain {
-			p.openSlots += slots
+		open := slots
+		if m.drain {
+			open = 0
 		}
+		p.rankables[i] = rankable{hash: m.hash, slots: slots, zone: p.addTarget(m.target.Zone, open)}
 	}
 }
 
@@ -100,24 +70,26 @@
 	if !r.hasObject() {
 		return 0
 	}
+	pools, objects := st.poolsOf(r.service), c.spreadOf(st, r)
+	return rankAt(pools, objects.region, r, ns, set)
+}
+
+// rankAt fills set with the open targets that rank highest for the object of r
+// under the weights, and returns their number.
+func rankAt(pools []*pool, weights slotWeights, r *Request, ns int64, set []ranked) int {
 	n := 0
 	least := 0.0
-	home := c.homeBias(st, r)
-	for _, p := range st.services[r.service] {
+	for i, p := range pools {
 		if !allowsRegion(r.Route.Regions, p.row.Region) {
 			continue
 		}
-		bias := 1.0
-		if p.row.Region == c.self.Region {
-			bias = home
-		}
-		for i := range p.rankables {
-			t := &p.rankables[i]
-			draw, weight := drawOf(t.hash, r.Key), bias*t.slots
+		for j := range p.rankables {
+			t := &p.rankables[j]
+			draw, weight := drawOf(t.hash, r.Key), weights[i][t.zone]*t.slots
 			if below(draw, weight, least) {
 				continue
 			}
-			m := p.local[i]
+			m := p.local[j]
 			if !m.mayKnow(r, ns) {
 				continue
 			}
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -192,7 +192,7 @@
 		return best, true
 	}
 	other := terms{work: est.cold, extra: est.penalty, aim: est.aim, known: !r.hasObject()}
-	for _, p := range st.services[r.service] {
+	for _, p := range st.poolsOf(r.service) {
 		if !allowsRegion(r.Route.Regions, p.row.Region) {
 			continue
 		}
--- /dev/null
+++ b/pkg/decision/steer/objects.go
@@ -0,0 +1,160 @@
+package steer
+
+import (
+	"slices"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/affinity"
+)
+
+// heavyBody is the mean size of a route's bodies, in bytes, from which on its
+// objects are kept in a zone rather than anywhere in the region: the links
+// between zones then carry more than a better balance of targets is worth.
+const heavyBody = 8 << 10
+
+// service is a service with its pools, one for each region.
+type service struct {
+	pools   []*pool
+	objects spread
+}
+
+// zoneSlots is a zone of a pool with the slots of its targets that are not
+// drained.
+type zoneSlots struct {
+	name string
+	open float64
+}
+
+// addTarget notes a target of a zone and returns the zone's index.
+func (p *pool) addTarget(zone string, open float64) int {
+	i := slices.IndexFunc(p.zoneSlots, func(z zoneSlots) bool { return z.name == zone })
+	if i < 0 {
+		i = len(p.zoneSlots)
+		p.zoneSlots = append(p.zoneSlots, zoneSlots{name: zone})
+	}
+	p.zoneSlots[i].open += open
+	return i
+}
+
+// slotWeights says how likely a slot is to get an object, by pool and zone.
+type slotWeights [][]float64
+
+// spread says how the objects of this instance's callers are spread over the
+// targets of a service.
+type spread struct {
+	// region keeps them in the instance's region.
+	region slotWeights
+	// zone keeps them in the instance's zone, and next in the zone that follows
+	// it in its region. They are nil when there is no such zone with open slots.
+	zone slotWeights
+	next slotWeights
+}
+
+// newSpread returns the spread over pools in the allowed regions.
+func newSpread(self Self, pools []*pool, allowed []string) spread {
+	own := slices.IndexFunc(pools, func(p *pool) bool { return p.row.Region == self.Region })
+	s := spread{region: byRegion(pools, allowed, own)}
+	if own < 0 || !allowsRegion(allowed, self.Region) {
+		return s
+	}
+	zones := pools[own].openZones()
+	if slices.Contains(zones, self.Zone) {
+		s.zone = byZone(pools, allowed, self.Zone)
+	}
+	if next := following(zones, self.Zone); next != "" {
+		s.next = byZone(pools, allowed, next)
+	}
+	return s
+}
+
+// openZones returns the sorted names of the zones with open slots.
+func (p *pool) openZones() []string {
+	var names []string
+	for _, z := range p.zoneSlots {
+		if z.open > 0 {
+			names = append(names, z.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// following returns the one of sorted names that comes after name, or the
+// first, or "" when there is no other.
+func following(names []string, name string) string {
+	at, found := slices.BinarySearch(names, name)
+	if found {
+		at++
+	}
+	if at >= len(names) {
+		at = 0
+	}
+	if at >= len(names) || names[at] == name {
+		return ""
+	}
+	return names[at]
+}
+
+// byRegion returns the weights that keep objects in the region of the pool with
+// the index own.
+func byRegion(pools []*pool, allowed []string, own int) slotWeights {
+	slots := make([]float64, len(pools))
+	for i, p := range pools {
+		if allowsRegion(allowed, p.row.Region) {
+			slots[i] = p.openSlots()
+		}
+	}
+	weights := make(slotWeights, len(pools))
+	for i, w := range affinity.Weights(slots, own) {
+		weights[i] = slices.Repeat([]float64{w}, len(pools[i].zoneSlots))
+	}
+	return weights
+}
+
+// openSlots returns the slots of the targets that are not drained.
+func (p *pool) openSlots() float64 {
+	sum := 0.0
+	for _, z := range p.zoneSlots {
+		sum += z.open
+	}
+	return sum
+}
+
+// byZone returns the weights that keep objects in a zone.
+func byZone(pools []*pool, allowed []string, zone string) slotWeights {
+	var slots []float64
+	own := -1
+	for _, p := range pools {
+		for _, z := range p.zoneSlots {
+			open := z.open
+			if !allowsRegion(allowed, p.row.Region) {
+				open = 0
+			}
+			if z.name == zone {
+				own = len(slots)
+			}
+			slots = append(slots, open)
+		}
+	}
+	all := affinity.Weights(slots, own)
+	weights := make(slotWeights, len(pools))
+	for i, p := range pools {
+		weights[i], all = all[:len(p.zoneSlots)], all[len(p.zoneSlots):]
+	}
+	return weights
+}
+
+// spreadOf returns how the objects of r's route are spread.
+func (c *Core) spreadOf(st *state, r *Request) spread {
+	if len(r.Route.Regions) == 0 {
+		return st.services[r.service].objects
+	}
+	return newSpread(c.self, st.poolsOf(r.service), r.Route.Regions)
+}
+
+// poolsOf returns the pools of a service.
+func (st *state) poolsOf(name string) []*pool {
+	if s, ok := st.services[name]; ok {
+		return s.pools
+	}
+	return nil
+}
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -18,8 +18,8 @@
 	regions map[string]*region
 	pools   map[string]*pool
 	routes  map[string]*route
-	// services has the pools of each service, for direct dispatch.
-	services map[string][]*pool
+	// services is for direct dispatch.
+	services map[string]*service
 }
 
 // pool is a row of the pools table as this instance sees it.
@@ -30,10 +30,10 @@
 	// local are the pool's targets in this zone; zones are the others.
 	local []*member
 	zones []*zone
-	// rankables has an entry for each of local, and openSlots the slots of
-	// those that are not drained, for direct dispatch.
+	// rankables has an entry for each of local, and zoneSlots one for each of
+	// their zones, for direct dispatch.
 	rankables []rankable
-	openSlots float64
+	zoneSlots []zoneSlots
 }
 
 // emptyState is in force until SetTables.
@@ -51,7 +51,7 @@
 		pools:   make(map[string]*pool),
 		routes:  make(map[string]*route),
 
-		services: make(map[string][]*pool),
+		services: make(map[string]*service),
 	}
 	for name, s := range old.slots {
 		if s.remembered(c.nanos(now)) {
@@ -64,6 +64,9 @@
 	for i := range t.Pools {
 		c.addPool(st, old, &t.Pools[i])
 	}
+	for _, s := range st.services {
+		s.objects = newSpread(c.self, s.pools, nil)
+	}
 	for i := range t.Routes {
 		c.addRoute(now, st, old, &t.Routes[i])
 	}
@@ -105,8 +108,18 @@
 	st.pools[row.Name] = p
 	if c.direct != nil {
 		p.addRankables()
-		st.services[row.Service] = append(st.services[row.Service], p)
+		st.addToService(p)
+	}
+}
+
+// addToService adds p to the pools of its service.
+func (st *state) addToService(p *pool) {
+	s, ok := st.services[p.row.Service]
+	if !ok {
+		s = &service{}
+		st.services[p.row.Service] = s
 	}
+	s.pools = append(s.pools, p)
 }
 
 // zoneOf returns what is known about the pool in zone.
