--- a/pkg/decision/choice/latency.go
+++ b/pkg/decision/choice/latency.go
@@ -99,3 +99,21 @@
 	}
 	return fallback
 }
+
+// Size is a moving mean of sizes in bytes. The zero value knows nothing. It may
+// be used from several goroutines at once; concurrent observations may be lost.
+type Size struct {
+	bytes atomic.Uint64
+}
+
+// Observe takes in one size.
+func (s *Size) Observe(n int64) {
+	old := s.Value()
+	if old == 0 {
+		old = float64(n)
+	}
+	s.bytes.Store(math.Float64bits(old + meanWeight*(float64(n)-old)))
+}
+
+// Value returns the mean, or zero when nothing was observed.
+func (s *Size) Value() float64 { return math.Float64frombits(s.bytes.Load()) }
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -137,6 +137,9 @@
 	if r.service == "" {
 		r.service = rt.pickService(st, r)
 	}
+	if r.Attempts == 0 && r.BodyBytes > 0 {
+		rt.bodies.Observe(r.BodyBytes)
+	}
 	ns := c.nanos(now)
 	est := rt.estimate(r)
 	best, found := c.bestDirect(st, r, est, ns, false)
--- a/pkg/decision/steer/route.go
+++ b/pkg/decision/steer/route.go
@@ -28,6 +28,8 @@
 	// that the target knew and did not know, for direct dispatch.
 	warm choice.Floor
 	cold choice.Floor
+	// bodies follows the size of the requests' bodies, in bytes.
+	bodies choice.Size
 }
 
 // meter is a shift meter with the cap that it was made for.
