Name the instances of the caller's zone in look-ups, with a few of the region's others

Change: the instances of the zone, and for each four of them one drawn from the region's other zones; the whole region when the zone has fewer than two.

--- a/pkg/node/direct.go
+++ b/pkg/node/direct.go
@@ -73,25 +73,50 @@
 	return ids
 }
 
-// Near returns the instances that a caller in region may use: those of its
-// region, or all when there are none or its cell is silent.
-func (n *Node) Near(region string) []lookup.Instance {
-	var near, all []lookup.Instance
+// spareShare is the number of instances of a caller's zone for each instance of
+// another zone that is named beside them, so that a caller whose zone is lost
+// knows whom to ask.
+const spareShare = 4
+
+// Near returns the instances that a caller at a place may use: those of its zone
+// with a few of its region's other zones, or all when the region has none or its
+// cell is silent.
+func (n *Node) Near(at lookup.Place) []lookup.Instance {
+	var zone, region, all []lookup.Instance
 	for _, in := range n.view.Load().lookups {
-		if !in.Usable() || in.ID == n.self.ID && n.leaving() {
+		switch {
+		case !in.Usable() || in.ID == n.self.ID && n.leaving():
 			continue
+		case in.Zone == at.Zone:
+			zone = append(zone, in)
+		case in.Region == at.Region:
+			region = append(region, in)
 		}
 		all = append(all, in)
-		if in.Region == region {
-			near = append(near, in)
-		}
 	}
-	if len(near) > 0 {
-		return near
+	switch {
+	case len(zone) >= minNear:
+		return append(zone, n.draw(region, max(1, len(zone)/spareShare))...)
+	case len(zone)+len(region) > 0:
+		return append(zone, region...)
 	}
 	return all
 }
 
+// minNear is the number of instances from which on a zone serves its callers by
+// itself.
+const minNear = 2
+
+// draw returns count of list at random, or all when there are fewer.
+func (n *Node) draw(list []lookup.Instance, count int) []lookup.Instance {
+	count = min(count, len(list))
+	for i := range count {
+		j := i + n.random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:count]
+}
+
 // refusal brings f into the form that callers read.
 func (n *Node) refusal(f caller.Refusal) caller.Refusal {
 	f.Fractional = n.dialect.FractionalRetry
--- a/pkg/node/near_test.go
+++ b/pkg/node/near_test.go
@@ -1,16 +1,18 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 )
 
-// nearIDs returns the ids of the instances that a caller in region may use.
-func nearIDs(n *Node, region string) []string {
+// nearIDs returns the ids of the instances that a caller at a place may use.
+func nearIDs(n *Node, at lookup.Place) []string {
 	var ids []string
-	for _, in := range n.Near(region) {
+	for _, in := range n.Near(at) {
 		ids = append(ids, in.ID)
 	}
 	slices.Sort(ids)
@@ -35,8 +37,63 @@
 		v := emptyView()
 		v.lookups = lookupInstances(list, c.silent)
 		n.view.Store(v)
-		if got := nearIDs(n, "rb"); !slices.Equal(got, c.want) {
+		if got := nearIDs(n, lookup.Place{Zone: "b", Region: "rb"}); !slices.Equal(got, c.want) {
 			t.Errorf("silent %v: a caller in rb may use %v, want %v", c.silent, got, c.want)
 		}
 	}
 }
+
+// nodeWith returns a node that knows of instances in zones of one region, so many
+// in each.
+func nodeWith(zones map[string]int) *Node {
+	var list []platform.Instance
+	for zone, count := range zones {
+		for i := range count {
+			list = append(list, platform.Instance{ID: fmt.Sprintf("%s%d", zone, i), Zone: zone, Region: "r", Cell: "r"})
+		}
+	}
+	n := &Node{}
+	v := emptyView()
+	v.lookups = lookupInstances(list, nil)
+	n.view.Store(v)
+	return n
+}
+
+func TestCallersGetTheInstancesOfTheirZoneAndAFewOthers(t *testing.T) {
+	for _, c := range []struct {
+		zones        map[string]int
+		own, another int
+	}{
+		{map[string]int{"a": 2, "b": 3}, 2, 1},
+		{map[string]int{"a": 21, "b": 22, "c": 22}, 21, 5},
+		{map[string]int{"a": 1, "b": 2}, 1, 2},
+		{map[string]int{"a": 0, "b": 2}, 0, 2},
+		{map[string]int{"a": 4}, 4, 0},
+	} {
+		own, another := 0, 0
+		for _, in := range nodeWith(c.zones).Near(lookup.Place{Zone: "a", Region: "r"}) {
+			if in.Zone == "a" {
+				own++
+			} else {
+				another++
+			}
+		}
+		if own != c.own || another != c.another {
+			t.Errorf("of %v a caller in a gets %d and %d of other zones, want %d and %d", c.zones, own, another, c.own, c.another)
+		}
+	}
+}
+
+// TestCallersGetOthersInTurn: those of other zones take over when a zone is lost,
+// so that its callers must not all know the same few.
+func TestCallersGetOthersInTurn(t *testing.T) {
+	n, named := nodeWith(map[string]int{"a": 4, "b": 8}), map[string]bool{}
+	for range 200 {
+		for _, in := range n.Near(lookup.Place{Zone: "a", Region: "r"}) {
+			named[in.ID] = true
+		}
+	}
+	if len(named) != 12 {
+		t.Errorf("%d of 12 instances are named", len(named))
+	}
+}
