Take no answer from another server that has got a target's address

Change: native targets may name themselves on answers and probes; an answer under another name, or without one from a target that gave its name before, is no answer to the request.

--- a/pkg/peer/target/answer.go
+++ b/pkg/peer/target/answer.go
@@ -53,6 +53,9 @@
 // returns "".
 func (c *Client) mismatch(a *upstream.Answer, id string, notRun bool) string {
 	d := &c.dialect
+	if name, ok := c.ownAnswer(a.Header); !ok {
+		return "the answer is that of the server " + strconv.Quote(name)
+	}
 	if d.EchoID && id != "" {
 		got := a.Header.Get(d.RequestID)
 		if got != id && (got != "" || !notRun && a.StatusCode != http.StatusMisdirectedRequest) {
@@ -68,6 +71,20 @@
 	return ""
 }
 
+// ownAnswer returns the name on an answer and whether it is this target's, as far
+// as the target names itself.
+func (c *Client) ownAnswer(h http.Header) (name string, own bool) {
+	if c.dialect.AnsweredBy == "" {
+		return "", true
+	}
+	name = h.Get(c.dialect.AnsweredBy)
+	if name == c.name {
+		c.named.Store(true)
+		return name, true
+	}
+	return name, name == "" && !c.named.Load()
+}
+
 // loadParts is the number of counts in a load field.
 const loadParts = 3
 
--- a/pkg/peer/target/probe.go
+++ b/pkg/peer/target/probe.go
@@ -85,6 +85,9 @@
 		return probeAnswer{}, nil, c.fault(upstream.AsError(err))
 	}
 	defer a.Close()
+	if name, ok := c.ownAnswer(a.Header); !ok {
+		return probeAnswer{}, nil, fault.New(fault.KindTargetGarbage, "target %s: the server %q has its address", c.name, name)
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxReportBytes+1))
 	if err == nil && len(body) > maxReportBytes {
 		err = fault.New(fault.KindTargetGarbage, "the report of target %s is longer than %d bytes", c.name, maxReportBytes)
--- a/pkg/peer/target/target.go
+++ b/pkg/peer/target/target.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
@@ -43,6 +44,8 @@
 	pool       *upstream.Pool
 	dialect    wire.Dialect
 	healthPath string
+	// named is set once the target has given its name on an answer.
+	named atomic.Bool
 }
 
 // New returns a client of a target.
--- a/pkg/standin/target/report.go
+++ b/pkg/standin/target/report.go
@@ -28,9 +28,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if t.showsLeaving() {
-		w.Header().Set(wire.HeaderTargetLeaving, "true")
-	}
+	t.nameSelf(w)
 	ill := f.Shed || f.Hang || f.Garbage != GarbageNone
 	if f.HealthLie != LieNone {
 		ill = f.HealthLie == LieBad
@@ -48,9 +46,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if t.showsLeaving() {
-		w.Header().Set(wire.HeaderTargetLeaving, "true")
-	}
+	t.nameSelf(w)
 	standin.WriteJSON(w, http.StatusOK, t.loadReport())
 }
 
@@ -81,3 +77,11 @@
 		Incarnation: t.incarnation,
 	}
 }
+
+// nameSelf sets what the target says of itself on all its answers.
+func (t *Target) nameSelf(w http.ResponseWriter) {
+	w.Header().Set(wire.HeaderTarget, t.config.Name)
+	if t.showsLeaving() {
+		w.Header().Set(wire.HeaderTargetLeaving, "true")
+	}
+}
--- a/pkg/standin/target/target.go
+++ b/pkg/standin/target/target.go
@@ -97,10 +97,7 @@
 
 // serve answers one request of the life l.
 func (t *Target) serve(l *life, w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(wire.HeaderTarget, t.config.Name)
-	if t.showsLeaving() {
-		w.Header().Set(wire.HeaderTargetLeaving, "true")
-	}
+	t.nameSelf(w)
 	ctx, cancel := requestContext(r)
 	defer cancel()
 	rec, err := exchange.Receive(r)
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -24,6 +24,10 @@
 	Stamp string
 	// EchoID says that targets repeat the request's id on their answers.
 	EchoID bool
+	// AnsweredBy names the target on its answers to requests. Answers under
+	// another name, or without one from a target that has given its name before,
+	// come from another server that has its address.
+	AnsweredBy string
 	// TargetID names the target on the answers of its health endpoint, and
 	// ColdMS says how many milliseconds longer its caches are cold.
 	TargetID string
@@ -42,5 +46,6 @@
 		DeadlineMS: HeaderDeadlineMS,
 		NotRun:     HeaderTargetShed,
 		Leaving:    HeaderTargetLeaving,
+		AnsweredBy: HeaderTarget,
 	}
 }
