Let a new watcher take over the verdict of one that watched before

A trace of who names whom showed the last ones: relays that had just become watchers. They spare everybody for 1.5 s until the relays have reported, though a watcher that lived on already knew; and a relay that asks several watchers waited 700 ms for one that had ended before it took the answer of the other. Change: who takes over asks the others' verdict and gives its own the age of that one; a watcher's verdict counts when it arrives. A member that is spared counts as alive also when only a verdict named it. Two tests of the view fail before.

--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -86,12 +86,19 @@
 }
 
 // beatToEach sends q to all of to and returns their answers, nil for who has
-// not answered.
+// not answered. A watcher's own verdict is taken over without waiting for those
+// that may have ended.
 func (c *Cluster) beatToEach(ctx context.Context, q *instance.HeartbeatRequest, to []member.Info) []*answer {
 	answers := make([]*answer, len(to))
 	var wg conc.WaitGroup
 	for i, w := range to {
-		wg.Go(func() { answers[i] = c.beatTo(ctx, q, w, i == 0) })
+		wg.Go(func() {
+			a := c.beatTo(ctx, q, w, i == 0)
+			if a != nil && q.WantVerdict && a.reply.AgreeAge == 0 {
+				c.takeVerdict([]*answer{a})
+			}
+			answers[i] = a
+		})
 	}
 	wg.Wait()
 	return answers
@@ -151,7 +158,7 @@
 	c.wakeWriter(&beat)
 	q := &instance.HeartbeatRequest{
 		From: c.view.Self(), Beat: beat, Tables: c.versions.InForce(), Rejected: c.versions.Rejected(),
-		Catalog: c.catalogPosition(), WantVerdict: !c.decides(tree),
+		Catalog: c.catalogPosition(), WantVerdict: c.wantsVerdict(now, tree),
 		Members: c.view.Digest(now), Below: c.belowReport(now, tree), Summaries: c.ownSummaries(now), Poison: c.pushPoison(now),
 	}
 	c.zones.observeOwn(now, c.self.ID, q.Summaries)
@@ -192,6 +199,12 @@
 	return !tree.HasRelays() || tree.IsWatcher(c.self.ID)
 }
 
+// wantsVerdict reports whether this instance asks others who is silent: it does
+// not decide, or has become a watcher only now. The caller holds mu.
+func (c *Cluster) wantsVerdict(now time.Time, tree spread.Tree) bool {
+	return !c.decides(tree) || c.view.TakesOver(now)
+}
+
 // takeMembers takes in what another instance has heard of the cell. The caller
 // holds mu.
 func (c *Cluster) takeMembers(now time.Time, r *instance.HeartbeatReply) {
@@ -204,7 +217,8 @@
 }
 
 // takeVerdict takes over the newest verdict on the cell's members, the first of
-// answers among equals, unless this instance decides itself.
+// answers among equals, unless this instance decides itself. One that has become
+// a watcher only now learns from it when the members were heard from, too.
 func (c *Cluster) takeVerdict(answers []*answer) {
 	var newest *answer
 	for _, a := range answers {
@@ -215,9 +229,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if newest == nil || newest.reply.AgreeAge >= c.timing.Member.Suspect || c.decides(c.tree(now)) {
+	if newest == nil || newest.reply.AgreeAge >= c.timing.Member.Suspect || !c.wantsVerdict(now, c.tree(now)) {
 		return
 	}
+	if c.view.TakesOver(now) {
+		for _, m := range newest.reply.Members {
+			c.view.ObserveReport(now, m)
+		}
+	}
 	at := now.Add(-newest.reply.AgreeAge)
 	if newest.reply.Agree {
 		c.view.ObserveSameVerdict(now, at)
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -267,6 +267,9 @@
 	if v.silentToRelays(now, e) {
 		return Suspect
 	}
+	if !now.After(e.spared) {
+		return Alive
+	}
 	heard := v.lastWord(e)
 	if heard.IsZero() {
 		if e.listed && now.Sub(e.first) < v.timing.Grace+v.relayed(now) {
@@ -274,7 +277,7 @@
 		}
 		return Suspect
 	}
-	if now.Sub(heard) >= v.timing.Suspect+v.relayed(now) && now.After(e.spared) {
+	if now.Sub(heard) >= v.timing.Suspect+v.relayed(now) {
 		return Suspect
 	}
 	return Alive
--- a/pkg/decision/member/relay.go
+++ b/pkg/decision/member/relay.go
@@ -13,8 +13,10 @@
 	until time.Time
 	// watching is set while this instance is a watcher.
 	watching bool
-	// watched is when it last was.
+	// watched is when it last was, and settled is when what the relays report to
+	// it counts.
 	watched time.Time
+	settled time.Time
 	// judged is when a watcher gave the verdict that is held here.
 	judged time.Time
 	// reported is what each relay has told of those who report to it.
@@ -79,6 +81,12 @@
 	}
 }
 
+// TakesOver reports whether this instance has become a watcher so lately that
+// it relies on the verdict of others.
+func (v *View) TakesOver(now time.Time) bool {
+	return v.relays.watching && now.Before(v.relays.settled)
+}
+
 // lastWord returns when e was last known to live: when it was heard from, or,
 // unless this instance is a watcher, when a watcher held it alive.
 func (v *View) lastWord(e *entry) time.Time {
@@ -90,6 +98,7 @@
 
 // takeOver has all members that are in use now wait for the relays' reports.
 func (v *View) takeOver(now time.Time) {
+	v.relays.settled = now.Add(v.timing.Takeover)
 	for _, e := range v.entries {
 		if e.info.Group() == v.self.Group() && v.state(now, e) != Suspect {
 			e.spared = now.Add(v.timing.Takeover)
@@ -187,11 +196,13 @@
 }
 
 // Verdict returns which members of the cell are not suspected. Its age is that
-// of the watcher's verdict that it goes back to; that of a watcher has none.
+// of the watcher's verdict that it goes back to; that of a watcher has none,
+// unless it takes over while others watch.
 func (v *View) Verdict(now time.Time) Witnessed {
 	w := v.used(now)
 	w.Age = now.Sub(v.relays.judged)
-	if v.relays.watching && v.relays.inUse(now) {
+	othersWatch := v.TakesOver(now) && w.Age < v.timing.Suspect
+	if v.relays.watching && v.relays.inUse(now) && !othersWatch {
 		w.Age = 0
 	}
 	return w
--- a/pkg/decision/member/relay_test.go
+++ b/pkg/decision/member/relay_test.go
@@ -119,3 +119,42 @@
 		}
 	})
 }
+
+// TestANewWatcherTakesOverTheVerdictOfAnOldOne: it spares who is in use until the
+// relays have reported to it, but not those that a watcher holds for silent.
+func TestANewWatcherTakesOverTheVerdictOfAnOldOne(t *testing.T) {
+	v := newView()
+	v.UseRelays(start, false)
+	both := []Report{{Info: info("a", "1")}, {Info: info("b", "1")}}
+	v.ObserveVerdict(start, start, info("w", "1"), both)
+	now := seconds(4)
+	v.ObserveVerdict(now, now, info("w", "1"), both)
+	v.UseRelays(now, true)
+	if !v.TakesOver(now) {
+		t.Fatal("a new watcher does not take over")
+	}
+	if w := v.Verdict(seconds(4.5)); w.Age != 500*time.Millisecond {
+		t.Errorf("its verdict has the age %v, not that of the one it goes back to", w.Age)
+	}
+	v.ObserveVerdict(seconds(4.5), seconds(4.5), info("w", "1"), both[:1])
+	if s := stateOf(t, v, seconds(4.5), "a"); s != Alive {
+		t.Errorf("state of a member that is in use = %v", s)
+	}
+	if s := stateOf(t, v, seconds(4.5), "b"); s != Suspect {
+		t.Errorf("state of a member that the old watcher holds for silent = %v", s)
+	}
+	if v.TakesOver(now.Add(DefaultTiming().Takeover)) {
+		t.Error("a watcher takes over for ever")
+	}
+}
+
+func TestANewWatcherDecidesWhenNobodyElseWatches(t *testing.T) {
+	v := newView()
+	v.UseRelays(start, false)
+	v.ObserveVerdict(start, start, info("w", "1"), []Report{{Info: info("a", "1")}})
+	now := seconds(3.5)
+	v.UseRelays(now, true)
+	if w := v.Verdict(now); w.Age != 0 {
+		t.Errorf("its verdict has the age %v", w.Age)
+	}
+}
