--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -73,6 +73,12 @@
 	return NewWith(s, Adapter{Instances: p, Tables: p, Objects: p}, log)
 }
 
+// messagePanicked takes in a panic in the handling of another instance's message.
+func (d *Daemon) messagePanicked(m instance.Method, value any, stack []byte) {
+	d.metrics.Panicked()
+	d.log.Error("message not handled", zap.String("method", string(m)), zap.Any("panic", value), zap.ByteString("stack", stack))
+}
+
 // NewWith is New on another platform than the native one.
 func NewWith(s *settings.Settings, a Adapter, log *zap.Logger) (*Daemon, error) {
 	identity, err := LoadIdentity(s.TLS)
@@ -122,7 +128,7 @@
 		Feeds: a.Feeds, Seeds: s.Instance.Seeds,
 		Peers: d.peers, Log: log, Rand: rand.Float64,
 	})
-	d.serve = instance.NewServer(c.Handler(), serverTLS)
+	d.serve = instance.NewServer(c.Handler(), serverTLS, d.messagePanicked)
 	d.node = node.New(node.Config{
 		Settings: s, Self: d.self, Metrics: d.metrics, Tracer: tracer, Listeners: ls.node, Cluster: c,
 		Instances: a.Instances, Log: log, Seed: rand.Uint64(), Dialect: a.Dialect, Endpoints: ls.endpoints,
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -64,3 +64,11 @@
 		zap.Int("in_flight", b.InFlight), zap.Float64("others", b.Others), zap.Duration("load_age", b.LoadAge),
 	}
 }
+
+// attemptPanicked takes in a panic while an attempt was made.
+func (n *Node) attemptPanicked(value any, stack []byte) {
+	if n.metrics != nil {
+		n.metrics.Panicked()
+	}
+	n.log.Error("attempt not made", zap.Any("panic", value), zap.ByteString("stack", stack))
+}
--- a/pkg/node/try.go
+++ b/pkg/node/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -58,17 +59,29 @@
 	}
 	ctx, span, in := t.x.node.tracer.Client(t.ctx, t.in, name)
 	t.ctx, t.in = ctx, in
-	if t.d.Verdict == steer.Hop {
-		t.err = t.hop()
-	} else {
-		t.err = t.dispatch()
-	}
+	t.err = t.exchange()
 	if t.err != nil {
 		t.res.Kind = fault.KindOf(t.err)
 	}
 	telemetry.End(span, t.res.Kind, attribute.String("pool", t.d.Pool), place)
 }
 
+// exchange sends the request and reads the first part of its answer. A panic ends
+// this attempt only: a hedge runs beside the request's own goroutine, where nobody
+// else would stop it. What was sent may have run.
+func (t *try) exchange() (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			t.x.node.attemptPanicked(v, debug.Stack())
+			err = fault.New(fault.KindTargetLost, "the attempt could not be made")
+		}
+	}()
+	if t.d.Verdict == steer.Hop {
+		return t.hop()
+	}
+	return t.dispatch()
+}
+
 // dispatch sends the request to the target.
 func (t *try) dispatch() error {
 	c, ok := t.x.view.targets[t.d.Target]
--- a/pkg/peer/instance/peer_test.go
+++ b/pkg/peer/instance/peer_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
 
+	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/allowance"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
@@ -54,10 +56,19 @@
 	return &ZoneReply{Tables: q.Tables}, nil
 }
 
+// dropped is a topic whose position makes the echo panic.
+const dropped = 77
+
 func (echo) Catalog(_ context.Context, q *CatalogRequest) (*CatalogReply, error) {
+	if q.Have[0] == dropped {
+		panic("a message that nobody expected")
+	}
 	return &CatalogReply{Position: q.Have}, nil
 }
 
+// panics counts the panics that the servers of the tests have reported.
+var panics atomic.Int32
+
 // serve runs a server and returns its address.
 func serve(t *testing.T, tlsConfig *tls.Config) string {
 	t.Helper()
@@ -67,7 +78,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	wg.Go(func() { _ = NewServer(echo{}, tlsConfig).Serve(ctx, ln) })
+	panicked := func(Method, any, []byte) { panics.Add(1) }
+	wg.Go(func() { _ = NewServer(echo{}, tlsConfig, panicked).Serve(ctx, ln) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	return ln.Addr().String()
 }
@@ -105,6 +117,21 @@
 	}
 }
 
+func TestPanicEndsItsMessageOnly(t *testing.T) {
+	addr, c := serve(t, nil), client(t, nil)
+	before := panics.Load()
+	err := c.Call(t.Context(), addr, MethodCatalog, &CatalogRequest{Have: catalog.Position{dropped}}, &CatalogReply{})
+	if fault.KindOf(err) != fault.KindBadRequest {
+		t.Errorf("the message that panics: %v", err)
+	}
+	if panics.Load() != before+1 {
+		t.Error("the panic is not reported")
+	}
+	if err := c.Call(t.Context(), addr, MethodCatalog, &CatalogRequest{}, &CatalogReply{}); err != nil {
+		t.Errorf("the message after it: %v", err)
+	}
+}
+
 func TestRefusedConnectionIsToldApart(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 
 	"github.com/sourcegraph/conc"
@@ -17,19 +18,24 @@
 // maxServed bounds the connections that a server keeps open.
 const maxServed = 1024
 
+// PanicReport gets a panic in the handling of a message, with its stack.
+type PanicReport func(m Method, value any, stack []byte)
+
 // Server answers the calls of other instances.
 type Server struct {
-	handler Handler
-	tls     *tls.Config
+	handler  Handler
+	tls      *tls.Config
+	panicked PanicReport
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
 }
 
 // NewServer returns a server that passes calls to h. With a TLS configuration
-// it accepts only callers that show a certificate of the same authority.
-func NewServer(h Handler, tlsConfig *tls.Config) *Server {
-	return &Server{handler: h, tls: tlsConfig, conns: map[*jsonrpc2.Conn]struct{}{}}
+// it accepts only callers that show a certificate of the same authority. A panic
+// in h ends the message that caused it, and is passed to panicked.
+func NewServer(h Handler, tlsConfig *tls.Config, panicked PanicReport) *Server {
+	return &Server{handler: h, tls: tlsConfig, panicked: panicked, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve accepts connections until ctx ends, then closes ln and all
@@ -91,7 +97,7 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := Dispatch(ctx, s.handler, Method(req.Method), params)
+	result, err := s.dispatch(ctx, Method(req.Method), params)
 	if err == nil {
 		return result, nil
 	}
@@ -101,3 +107,14 @@
 	}
 	return nil, e
 }
+
+// dispatch is Dispatch, but for a panic, which it reports and returns as an error.
+func (s *Server) dispatch(ctx context.Context, m Method, params []byte) (result any, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.panicked(m, v, debug.Stack())
+			err = fault.New(fault.KindBadRequest, "the message %q could not be handled", string(m))
+		}
+	}()
+	return Dispatch(ctx, s.handler, m, params)
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -128,3 +128,6 @@
 func (m *Metrics) Drain(target string, took time.Duration) {
 	m.scope.Tagged(map[string]string{"target": target}).Histogram("drain_seconds", drainBuckets).RecordDuration(took)
 }
+
+// Panicked counts a panic that ended one request or message only.
+func (m *Metrics) Panicked() { m.scope.Counter("panics").Inc(1) }
