Cut no other request of a connection when an answer breaks off

Cause: an answer of unannounced length is passed on as it comes. When its target breaks off, or the deadline passes within it, the caller's connection has to be cut, and all requests that the caller has sent on it end without an answer. Ruled out: write deadlines, idle limits and the closing of connections, read through for the same course. Change: such an answer is read up to 32 KiB first when other requests share its connection.

--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -32,13 +32,14 @@
 	whole bool
 }
 
-// readFirst reads a small answer whole. When the outcome is recorded, an
-// answer of unannounced length is read up to the bound as well.
+// readFirst reads a small answer whole. An answer of unannounced length is read
+// up to the bound as well when the outcome is recorded, or when a failure within
+// it would cut off other requests of the caller.
 func (x *exchange) readFirst(a *upstream.Answer, head caller.Head) (firstPart, error) {
 	switch {
 	case head.Length == 0 || a.Request.Method == http.MethodHead:
 		return firstPart{whole: true}, nil
-	case head.Length > wholeAnswerBytes, head.Length < 0 && !x.record:
+	case head.Length > wholeAnswerBytes, head.Length < 0 && !x.record && !x.relay.SharesConnection():
 		return firstPart{}, nil
 	case head.Length > 0:
 		buf := make([]byte, head.Length)
--- a/pkg/peer/caller/pipeline/response.go
+++ b/pkg/peer/caller/pipeline/response.go
@@ -290,6 +290,14 @@
 	return w.failed == nil
 }
 
+// SharesConnection reports whether the caller has sent other requests on the
+// connection that are not yet answered: they end with it when this answer is cut.
+func (w *response) SharesConnection() bool {
+	w.conn.mu.Lock()
+	defer w.conn.mu.Unlock()
+	return w.conn.inFlight > 1
+}
+
 // FlushError sends what has been written so far; http.ResponseController uses
 // it.
 func (w *response) FlushError() error {
--- a/pkg/peer/caller/relay.go
+++ b/pkg/peer/caller/relay.go
@@ -28,6 +28,13 @@
 // NewRelay returns a Relay to w.
 func NewRelay(w http.ResponseWriter) *Relay { return &Relay{w: w} }
 
+// SharesConnection reports whether other requests of the caller end when the
+// answer is cut.
+func (r *Relay) SharesConnection() bool {
+	s, ok := r.w.(interface{ SharesConnection() bool })
+	return ok && s.SharesConnection()
+}
+
 // PassOn lets targets set a field of the system's.
 func (r *Relay) PassOn(field string) { r.passed = field }
 
