Give an object of a capped region the same other targets at each instance

Ruled out: different ranks at different instances (same weights), evicted objects, the second target's cost. Change: targets are ranked among the regions that may get more, so that an object has the same few others.

--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -180,12 +180,13 @@
 // was any that could be used at all.
 func (c *Core) bestDirect(st *state, r *Request, est estimate, ns int64, uncapped bool) (best candidate, found bool) {
 	best.cost = waitForever
+	pools := st.poolsOf(r.service)
+	var capped poolSet
+	if !uncapped {
+		capped = c.cappedPools(pools, ns)
+	}
 	var set [maxKnowing]ranked
-	for i, k := range set[:c.rank(st, r, ns, set[:])] {
-		if !uncapped && !c.direct.meter.allows(ns, k.p.row.Region) {
-			found = true
-			continue
-		}
+	for i, k := range set[:c.rank(st, r, ns, capped, set[:])] {
 		found = true
 		best.offer(c, k.m, k.p, ns, terms{work: est.warm, extra: time.Duration(i) * est.step, aim: est.aim, known: true})
 	}
@@ -195,19 +196,18 @@
 		return best, true
 	}
 	other := terms{work: est.cold, extra: est.penalty, aim: est.aim, known: !r.hasObject()}
-	for _, p := range st.poolsOf(r.service) {
+	for i, p := range pools {
 		if !allowsRegion(r.Route.Regions, p.row.Region) {
 			continue
 		}
-		capped := !uncapped && !c.direct.meter.allows(ns, p.row.Region)
 		start := int(c.random() % uint64(max(1, len(p.local))))
-		for i := range p.local {
-			m := p.local[(start+i)%len(p.local)]
+		for j := range p.local {
+			m := p.local[(start+j)%len(p.local)]
 			if !c.directOpen(m, r, ns) {
 				continue
 			}
 			found = true
-			if !capped {
+			if !capped.has(i) {
 				best.offer(c, m, p, ns, other)
 			}
 		}
@@ -215,6 +215,26 @@
 	return best, found
 }
 
+// poolSet is a set of the pools of a service, by their index. Pools beyond its
+// size are in no set.
+type poolSet uint64
+
+func (s poolSet) has(i int) bool { return i < 64 && s>>i&1 == 1 }
+
+// cappedPools returns the pools whose regions may get no more requests now. An
+// object whose targets are there has others in the remaining regions, the same at
+// each instance, so that a share that is held back by chance, as at an instance
+// with few requests, does not teach it to ever more targets.
+func (c *Core) cappedPools(pools []*pool, ns int64) poolSet {
+	var s poolSet
+	for i, p := range pools {
+		if !c.direct.meter.allows(ns, p.row.Region) {
+			s |= 1 << i
+		}
+	}
+	return s
+}
+
 // offer keeps m when it costs less than the best so far.
 func (b *candidate) offer(c *Core, m *member, p *pool, ns int64, t terms) {
 	cost, wait := m.directCost(ns, t.work, t.aim)
