Keep a retry from ending in a panic when its service has left the tables

Cause: the spread of objects was read from the service of a request's first attempt; when an edit removes that service before the next attempt, there is none. Change: no pools then, and the request is refused as without a target. A test fails with a panic before.

--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -219,7 +219,8 @@
 // size are in no set.
 type poolSet uint64
 
-func (s poolSet) has(i int) bool { return i < 64 && s>>i&1 == 1 }
+// has reports whether the pool with the index i is in the set.
+func (s poolSet) has(i int) bool { return s>>i&1 == 1 }
 
 // cappedPools returns the pools whose regions may get no more requests now. An
 // object whose targets are there has others in the remaining regions, the same at
--- a/pkg/decision/steer/objects.go
+++ b/pkg/decision/steer/objects.go
@@ -143,12 +143,17 @@
 	return weights
 }
 
-// spreadOf returns how the objects of r's route are spread.
+// spreadOf returns how the objects of r's route are spread. A service may have
+// gone from the tables since an earlier attempt of r; then there are no pools.
 func (c *Core) spreadOf(st *state, r *Request) spread {
-	if len(r.Route.Regions) == 0 {
-		return st.services[r.service].objects
+	s, ok := st.services[r.service]
+	switch {
+	case !ok:
+		return spread{}
+	case len(r.Route.Regions) == 0:
+		return s.objects
 	}
-	return newSpread(c.self, st.poolsOf(r.service), r.Route.Regions)
+	return newSpread(c.self, s.pools, r.Route.Regions)
 }
 
 // poolsOf returns the pools of a service.
--- a/pkg/decision/steer/objects_test.go
+++ b/pkg/decision/steer/objects_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
@@ -114,3 +115,24 @@
 		t.Errorf("%.2f of the bodies stay in the region, want what its targets carry", part)
 	}
 }
+
+// TestRetryOfARequestWhoseServiceIsGone: the tables change between two attempts.
+func TestRetryOfARequestWhoseServiceIsGone(t *testing.T) {
+	tb := twoZones(10, 2, 8)
+	c := zoneCore(tb, "osrednja", "a")
+	r := bodyRequest(tb, 3, formBytes)
+	d := mustDispatch(t, c.Decide(at(time.Second), r))
+	c.Done(at(time.Second), d, Result{Kind: fault.KindTargetRefused})
+	r.Attempts++
+	next := *tb
+	next.Version++
+	next.Pools = nil
+	for _, p := range tb.Pools {
+		p.Service = "another"
+		next.Pools = append(next.Pools, p)
+	}
+	c.SetTables(at(time.Second), &next)
+	if d := c.Decide(at(time.Second), r); d.Verdict != Refuse || d.Kind != fault.KindNoTarget {
+		t.Errorf("verdict %v, kind %v", d.Verdict, d.Kind)
+	}
+}
