--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -64,11 +64,11 @@
 func below(draw, weight, least float64) bool { return weight < least*(1-draw) }
 
 // rank fills set with the open targets outside the capped pools that know the
-// object of r best, and returns their number. All instances of a region choose the same ones
-// without talking, and few objects move when targets come or go. The objects of
-// a route with large bodies have a target for each of two zones, so that bodies
-// stay in the zone they come in at while its target has room, and the other one
-// is found warm when it has not.
+// object of r best, and returns their number. All instances of a region choose
+// the same ones without talking, and few objects move when targets come or go.
+// The objects of a route with large bodies have a target for each of two zones,
+// so that bodies stay in the zone they come in at while its target has room, and
+// the other one is found warm when it has not.
 func (c *Core) rank(st *state, r *Request, ns int64, capped poolSet, set []ranked) int {
 	if !r.hasObject() {
 		return 0
