Name the placement of objects so, apart from the package spread

Cause: a type spread beside the package of that name, which says who watches the store. Ruled out: another package. Measured: the package's tests.

--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -73,7 +73,7 @@
 	if !r.hasObject() {
 		return 0
 	}
-	pools, objects := st.poolsOf(r.service), c.spreadOf(st, r)
+	pools, objects := st.poolsOf(r.service), c.placementOf(st, r)
 	rt := st.routes[r.Route.Name]
 	if rt.bodies.Value() < heavyBody || objects.zone == nil {
 		return rankAt(pools, objects.region, r, ns, capped, set)
--- a/pkg/decision/steer/affinity_test.go
+++ b/pkg/decision/steer/affinity_test.go
@@ -13,7 +13,7 @@
 	for i, p := range st.poolsOf(r.service) {
 		for j, m := range p.local {
 			if m.mayKnow(r, ns) {
-				weight := c.spreadOf(st, r).region[i][p.rankables[j].zone] * float64(m.target.Slots)
+				weight := c.placementOf(st, r).region[i][p.rankables[j].zone] * float64(m.target.Slots)
 				all = append(all, ranked{m: m, rank: rankOf(drawOf(m.hash, r.Key), weight)})
 			}
 		}
--- a/pkg/decision/steer/objects.go
+++ b/pkg/decision/steer/objects.go
@@ -14,7 +14,7 @@
 // service is a service with its pools, one for each region.
 type service struct {
 	pools   []*pool
-	objects spread
+	objects placement
 }
 
 // zoneSlots is a zone of a pool with the slots of its targets that are not
@@ -38,9 +38,9 @@
 // slotWeights says how likely a slot is to get an object, by pool and zone.
 type slotWeights [][]float64
 
-// spread says how the objects of this instance's callers are spread over the
+// placement says how the objects of this instance's callers are spread over the
 // targets of a service.
-type spread struct {
+type placement struct {
 	// region keeps them in the instance's region.
 	region slotWeights
 	// zone keeps them in the instance's zone, and next in the zone that follows
@@ -49,10 +49,10 @@
 	next slotWeights
 }
 
-// newSpread returns the spread over pools in the allowed regions.
-func newSpread(self Self, pools []*pool, allowed []string) spread {
+// newPlacement returns the placement over pools in the allowed regions.
+func newPlacement(self Self, pools []*pool, allowed []string) placement {
 	own := slices.IndexFunc(pools, func(p *pool) bool { return p.row.Region == self.Region })
-	s := spread{region: byRegion(pools, allowed, own)}
+	s := placement{region: byRegion(pools, allowed, own)}
 	if own < 0 || !allowsRegion(allowed, self.Region) {
 		return s
 	}
@@ -143,17 +143,17 @@
 	return weights
 }
 
-// spreadOf returns how the objects of r's route are spread. A service may have
+// placementOf returns how the objects of r's route are spread. A service may have
 // gone from the tables since an earlier attempt of r; then there are no pools.
-func (c *Core) spreadOf(st *state, r *Request) spread {
+func (c *Core) placementOf(st *state, r *Request) placement {
 	s, ok := st.services[r.service]
 	switch {
 	case !ok:
-		return spread{}
+		return placement{}
 	case len(r.Route.Regions) == 0:
 		return s.objects
 	}
-	return newSpread(c.self, s.pools, r.Route.Regions)
+	return newPlacement(c.self, s.pools, r.Route.Regions)
 }
 
 // poolsOf returns the pools of a service.
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -65,7 +65,7 @@
 		c.addPool(st, old, &t.Pools[i])
 	}
 	for _, s := range st.services {
-		s.objects = newSpread(c.self, s.pools, nil)
+		s.objects = newPlacement(c.self, s.pools, nil)
 	}
 	for i := range t.Routes {
 		c.addRoute(now, st, old, &t.Routes[i])
