Leave a response's wish to close alone once it has begun

Ruled out: another value: whoever speaks HTTP/1.0 has it set from the start. Change: it is not written any more.

--- a/pkg/peer/caller/pipeline/response.go
+++ b/pkg/peer/caller/pipeline/response.go
@@ -51,7 +51,9 @@
 	done chan struct{}
 	// expects is set while the caller waits to be told to send its body.
 	expects bool
-	// wantsClose is set when the caller asked for the end of the connection.
+	// wantsClose is set from the start when the caller asked for the end of the
+	// connection, as every caller of HTTP/1.0 does. It is read by the connection's
+	// goroutine too.
 	wantsClose bool
 
 	header http.Header
@@ -171,9 +173,8 @@
 	case w.req.ProtoAtLeast(1, 1):
 		w.chunked = true
 		w.header.Set("Transfer-Encoding", "chunked")
-	default:
-		w.wantsClose = true
 	}
+	// An older caller takes the end of the connection for that of the body.
 }
 
 // connectionField says whether the connection goes on. It ends with the last
