Hear targets that say they leave, or that want no requests for a while

A report without an incarnation ended a leaving after 60 s. Ruled out: signs on answers that are not shown to be the target's (another id, no stamp); they count for nothing. Change: target.Notice, taken in with the head of an answer; steer/rest.go keeps requests away for the time asked for and lets them return through a window that begins with one; callers are told when the first target is back. Bounded by limits.max_retry_after; what can't be read counts as no wish and is counted and logged.

--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -121,8 +121,11 @@
 }
 
 // mayKnow reports whether r may be sent to m as one that knows its object.
-func (m *member) mayKnow(r *Request, ns int64) bool {
-	return m.open(ns) && !m.down.Load() && !m.cold(ns) && ns >= m.pausedTo.Load() && !r.Excluded(m.name)
+func (m *member) mayKnow(r *Request, ns int64) bool { return m.reachable(ns, r) && !m.cold(ns) }
+
+// reachable reports whether nothing but its caches speaks against sending r to m.
+func (m *member) reachable(ns int64, r *Request) bool {
+	return m.open(ns) && !m.down.Load() && ns >= m.pausedTo.Load() && m.rest.allows(ns, m.inFlight.Load()) && !r.Excluded(m.name)
 }
 
 // insert adds k to the n highest ranks of set and returns their new number.
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -254,6 +254,6 @@
 	}
 	return Decision{
 		Verdict: Dispatch, Pool: p.name, Target: m.target.Name, Address: m.target.Address, NotAfter: st.expires,
-		slot: m.slot, region: p.region, stats: p.poolStats, at: ns, deadline: c.nanos(r.Deadline),
+		slot: m.slot, slots: int64(m.target.Slots), region: p.region, stats: p.poolStats, at: ns, deadline: c.nanos(r.Deadline),
 	}
 }
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -148,10 +148,7 @@
 		best, found = c.bestDirect(st, r, est, ns, true)
 	}
 	if best.m == nil {
-		if found {
-			return refuse(fault.KindOverloaded)
-		}
-		return refuse(fault.KindNoTarget)
+		return c.noneOpen(st, r, ns, found)
 	}
 	limit := time.Duration(admitPart * float64(est.aim))
 	limit = min(limit, r.Deadline.Sub(now))
@@ -170,11 +167,23 @@
 	c.direct.meter.count(ns, best.p.region.name)
 	return Decision{
 		Verdict: Dispatch, Pool: best.p.name, Target: m.target.Name, Address: m.target.Address,
-		slot: m.slot, region: best.p.region, stats: best.p.poolStats, at: ns, deadline: c.nanos(r.Deadline),
+		slot: m.slot, slots: int64(m.target.Slots), region: best.p.region, stats: best.p.poolStats, at: ns, deadline: c.nanos(r.Deadline),
 		route: rt, known: best.known, distance: best.distance, Basis: basis,
 	}
 }
 
+// noneOpen refuses r when no target may get it. found says that there are some
+// which could be used, at another moment.
+func (c *Core) noneOpen(st *state, r *Request, ns int64, found bool) Decision {
+	if found {
+		return refuse(fault.KindOverloaded)
+	}
+	if wait, ok := c.firstReturn(st.poolsOf(r.service), r, ns); ok {
+		return c.refusedFor(wait)
+	}
+	return refuse(fault.KindNoTarget)
+}
+
 // bestDirect returns the cheapest target of r's service, in regions that the
 // route and, unless uncapped, the shift cap allow. found tells whether there
 // was any that could be used at all.
@@ -275,7 +284,7 @@
 
 // directOpen reports whether r may be sent to m now.
 func (c *Core) directOpen(m *member, r *Request, ns int64) bool {
-	if !m.open(ns) || m.down.Load() || ns < m.pausedTo.Load() || r.Excluded(m.name) {
+	if !m.reachable(ns, r) {
 		return false
 	}
 	return !m.cold(ns) || c.mayWarm(m, ns)
--- a/pkg/decision/steer/direct_test.go
+++ b/pkg/decision/steer/direct_test.go
@@ -150,11 +150,11 @@
 	if d := c.Decide(at(3), directRequest(tb, at(3), 3)); d.Verdict != Refuse || d.Kind != fault.KindNoTarget {
 		t.Fatalf("decision %+v, want no target", d)
 	}
-	if !c.WantsProbe("osrednja-1") {
+	if !c.WantsProbe(at(3), "osrednja-1") {
 		t.Error("the target that refused a connection is not probed")
 	}
 	c.ObserveLoad(at(4), LoadReport{Target: "osrednja-1", At: at(4), Healthy: true, Cold: time.Second})
-	if c.WantsProbe("osrednja-1") {
+	if c.WantsProbe(at(4), "osrednja-1") {
 		t.Error("the target is probed on after its answer")
 	}
 }
--- a/pkg/decision/steer/discovered.go
+++ b/pkg/decision/steer/discovered.go
@@ -35,10 +35,11 @@
 }
 
 // WantsProbe reports whether the target's state is in doubt, so that a probe
-// tells whether it may get work again.
-func (c *Core) WantsProbe(target string) bool {
+// tells whether it may get work again. A probe takes the room of a request, so
+// that a target which has asked for no requests is left alone.
+func (c *Core) WantsProbe(now time.Time, target string) bool {
 	s, ok := c.state.Load().slots[target]
-	return ok && s.down.Load()
+	return ok && s.down.Load() && !s.rest.active(c.nanos(now))
 }
 
 // learnDirect takes in how an attempt of direct dispatch has ended.
--- a/pkg/decision/steer/explain.go
+++ b/pkg/decision/steer/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -195,9 +196,11 @@
 	case m.drain:
 		t.Excluded = "drained"
 	case m.leaving.Load():
-		t.Excluded = "leaving"
+		t.Excluded = fmt.Sprintf("leaving, as it has said itself %v ago", time.Duration(now-m.leavingAt.Load()).Round(time.Millisecond))
 	case m.health.Ejected(now):
 		t.Excluded = "ejected after failures"
+	case m.rest.active(now):
+		t.Excluded = fmt.Sprintf("it has asked for no requests for another %v", time.Duration(m.rest.until.Load()-now).Round(time.Millisecond))
 	case now < m.pausedTo.Load():
 		t.Excluded = "it has just refused work"
 	case t.Share == 0:
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -49,13 +49,11 @@
 // learn takes in how an attempt at a target ended.
 func (c *Core) learn(now int64, d *Decision, res Result) {
 	s := d.slot
-	if res.Leaving {
-		s.leave(now)
-	}
 	switch res.Kind {
 	case fault.KindNone:
 		s.latency.Observe(now, res.Latency)
 		s.health.Succeeded()
+		s.rest.answered(now, d.slots)
 		d.stats.service.Observe(res.Latency)
 		s.down.Store(false)
 	case fault.KindTargetShed:
--- /dev/null
+++ b/pkg/decision/steer/rest.go
@@ -0,0 +1,104 @@
+package steer
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// rest is the time for which a target has asked for no requests. It answers two
+// loads: a target that is sent on what it cannot do, so that refusals take the
+// time of its work; and callers of many instances that all come back at the
+// moment at which the time ends. After it the requests in flight are bounded by a
+// window that begins at one and doubles with each answer. The zero value is a
+// target that has asked for nothing.
+type rest struct {
+	until atomic.Int64
+	// window bounds the requests in flight after until; zero is no bound.
+	window atomic.Int64
+}
+
+const (
+	// restSpread is the part of the time asked for by which an instance stays away
+	// longer, at random, so that the instances don't return together.
+	restSpread = 0.25
+	// maxRestSpread bounds that: a herd is spread once a target can do its work
+	// meanwhile.
+	maxRestSpread = 300 * time.Millisecond
+)
+
+// begin keeps requests away for d from now on. It never shortens an earlier time,
+// and reports whether it has prolonged it.
+func (r *rest) begin(now int64, d time.Duration, random uint64) bool {
+	spread := uint64(min(restSpread*float64(d), float64(maxRestSpread)))
+	until := now + d.Nanoseconds() + int64(random%(spread+1))
+	for {
+		old := r.until.Load()
+		if until <= old {
+			return false
+		}
+		if r.until.CompareAndSwap(old, until) {
+			r.window.Store(1)
+			return true
+		}
+	}
+}
+
+// active reports whether the time has not ended at now.
+func (r *rest) active(now int64) bool { return now < r.until.Load() }
+
+// allows reports whether a request may be sent at now beside those in flight.
+func (r *rest) allows(now, inFlight int64) bool {
+	if r.active(now) {
+		return false
+	}
+	window := r.window.Load()
+	return window == 0 || inFlight < window
+}
+
+// answered widens the window after an answer at now, and lifts it once it holds
+// all slots of the target.
+func (r *rest) answered(now, slots int64) {
+	window := r.window.Load()
+	if window == 0 || r.active(now) {
+		return
+	}
+	if window *= 2; window >= slots {
+		window = 0
+	}
+	r.window.Store(window)
+}
+
+// ObserveNotice takes in what the target of d has said of itself with the head of
+// an answer, while the rest of the answer may still be on its way. It reports
+// whether any of it was news.
+func (c *Core) ObserveNotice(now time.Time, d Decision, n Notice) (news bool) {
+	if d.slot == nil {
+		return false
+	}
+	ns := c.nanos(now)
+	if n.Leaving {
+		news = d.slot.leave(ns)
+	}
+	if n.RetryAfter > 0 {
+		news = d.slot.rest.begin(ns, n.RetryAfter, c.random()) || news
+	}
+	return news
+}
+
+// firstReturn returns how long it takes until a target of the pools that r may be
+// sent to has had the time that it asked for, and false when none has asked.
+func (c *Core) firstReturn(pools []*pool, r *Request, ns int64) (time.Duration, bool) {
+	first, found := waitForever, false
+	for _, p := range pools {
+		if !allowsRegion(r.Route.Regions, p.row.Region) {
+			continue
+		}
+		for _, m := range p.local {
+			if !m.open(ns) || m.down.Load() || r.Excluded(m.name) || m.rest.allows(ns, m.inFlight.Load()) {
+				continue
+			}
+			first, found = min(first, time.Duration(max(0, m.rest.until.Load()-ns))), true
+		}
+	}
+	return first, found
+}
--- a/pkg/decision/steer/slot.go
+++ b/pkg/decision/steer/slot.go
@@ -19,6 +19,7 @@
 	report   choice.Report
 	// pausedTo ends a short pause after the target refused a request.
 	pausedTo atomic.Int64
+	rest     rest
 
 	leaving     atomic.Bool
 	leavingAt   atomic.Int64
@@ -76,7 +77,7 @@
 
 // usable returns how many requests the target may have in flight at now.
 func (m *member) usable(now int64) int64 {
-	if !m.open(now) || now < m.pausedTo.Load() {
+	if !m.open(now) || now < m.pausedTo.Load() || !m.rest.allows(now, m.inFlight.Load()) {
 		return 0
 	}
 	return m.health.Usable(now, m.share.Load())
@@ -86,15 +87,18 @@
 	// shedPause keeps new work from a target that has just refused some.
 	shedPause = 50 * time.Millisecond
 	// leavingHold is how long a target that said it is leaving is believed
-	// while its reports say the contrary under the same incarnation.
+	// while its reports say the contrary under the same incarnation. Reports
+	// without one can't contradict it.
 	leavingHold = 60 * time.Second
 )
 
-// leave stops new work for the target.
-func (s *slot) leave(now int64) {
-	if !s.leaving.Swap(true) {
-		s.leavingAt.Store(now)
+// leave stops new work for the target. It reports whether that is new.
+func (s *slot) leave(now int64) bool {
+	if s.leaving.Swap(true) {
+		return false
 	}
+	s.leavingAt.Store(now)
+	return true
 }
 
 // remembered reports whether the slot must outlive its row in the tables: it
@@ -118,7 +122,7 @@
 	switch {
 	case rep.Leaving:
 		s.leave(now)
-	case rep.Healthy && s.leaving.Load() && now-s.leavingAt.Load() > leavingHold.Nanoseconds():
+	case rep.Healthy && rep.Incarnation != "" && s.leaving.Load() && now-s.leavingAt.Load() > leavingHold.Nanoseconds():
 		s.leaving.Store(false)
 	}
 	s.report.Observe(at, rep.InFlight, rep.Queued, int(s.inFlight.Load()), rep.Slots)
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -121,6 +121,7 @@
 
 	// What Done gives back and takes in.
 	slot        *slot
+	slots       int64
 	region      *region
 	zone        *zoneStats
 	stats       *poolStats
@@ -168,14 +169,21 @@
 	Kind fault.Kind
 	// Latency is from the dispatch to the first byte of the answer.
 	Latency time.Duration
-	// Leaving is set when the target said that it is leaving.
-	Leaving bool
 	// Failed is set when the target's answer reports its own failure.
 	Failed bool
 	// Load is what the target said of its load with its answer, or nil.
 	Load *TargetLoad
 }
 
+// Notice is what a target says of itself with an answer, beside its load.
+type Notice struct {
+	// Leaving is set when the target said that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the target wants nothing from this instance; zero
+	// without such a wish.
+	RetryAfter time.Duration
+}
+
 // TargetLoad is the load that a target states with an answer.
 type TargetLoad struct {
 	Running int
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -74,7 +74,12 @@
 // overloaded refuses for lack of capacity that is expected after d. The time
 // to come back is spread, so that those refused together don't return together.
 func (c *Core) overloaded(d time.Duration) Decision {
-	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return c.refusedFor(min(d, maxRetryAfter))
+}
+
+// refusedFor refuses for lack of capacity for d.
+func (c *Core) refusedFor(d time.Duration) Decision {
+	d = max(d, minRetryAfter)
 	spread := time.Duration(c.random() % uint64(d/2+1))
 	return Decision{Kind: fault.KindOverloaded, RetryAfter: d + spread}
 }
--- a/pkg/node/probe.go
+++ b/pkg/node/probe.go
@@ -39,7 +39,7 @@
 func (n *Node) probeAll(ctx context.Context) {
 	p := pool.New().WithMaxGoroutines(maxProbes)
 	for _, c := range n.view.Load().targets {
-		if n.direct() && !n.core.WantsProbe(c.Name()) {
+		if n.direct() && !n.core.WantsProbe(n.now(), c.Name()) {
 			continue
 		}
 		p.Go(func() { n.probeOne(ctx, c) })
--- a/pkg/node/try.go
+++ b/pkg/node/try.go
@@ -92,7 +92,7 @@
 	terms := upstream.Terms{NotAfter: t.d.NotAfter, Once: !req.Idempotent}
 	a, err := c.Send(t.ctx, t.in, t.x.body, req.Deadline, terms)
 	if a != nil {
-		t.res.Leaving = a.Leaving
+		t.x.noticed(t.d, a.Notice)
 		if a.Load != nil {
 			t.res.Load = &steer.TargetLoad{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots}
 		}
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -96,6 +96,7 @@
 			if !ok || c.Pool().Address() != tg.Address {
 				c = target.New(n.dialer, target.Options{
 					Name: tg.Name, Address: tg.Address, Connections: limit, Dialect: n.dialect, HealthPath: tg.HealthPath,
+					MaxRetryAfter: n.settings.Limits.MaxRetryAfter.Std(),
 				})
 			}
 			c.Pool().SetLimit(limit)
--- a/pkg/peer/target/answer.go
+++ b/pkg/peer/target/answer.go
@@ -20,8 +20,8 @@
 // Answer is a target's answer.
 type Answer struct {
 	*upstream.Answer
-	// Leaving is true when the target says that it is leaving.
-	Leaving bool
+	// Notice is what the target says of itself beside its load.
+	Notice Notice
 	// Load is what the target states of its load, or nil.
 	Load *Load
 }
@@ -30,8 +30,7 @@
 // from what is no answer to it. In the last two cases the answer is closed.
 func (c *Client) read(a *upstream.Answer, id string) (*Answer, error) {
 	d := &c.dialect
-	out := &Answer{Answer: a, Load: readLoad(a.Header, d)}
-	out.Leaving = d.Leaving != "" && a.Header.Get(d.Leaving) != ""
+	out := &Answer{Answer: a, Load: readLoad(a.Header, d), Notice: c.notice(a.StatusCode, a.Header)}
 	notRun := d.NotRun != "" && a.Header.Get(d.NotRun) != ""
 	if text := c.mismatch(a, id, notRun); text != "" {
 		a.Distrust()
@@ -41,10 +40,10 @@
 	switch {
 	case a.StatusCode == http.StatusMisdirectedRequest && d.ExpectTarget != "":
 		a.Close()
-		return &Answer{Leaving: true}, fault.New(fault.KindTargetShed, "another target has the address of %s", c.name)
+		return &Answer{Notice: Notice{Leaving: true}}, fault.New(fault.KindTargetShed, "another target has the address of %s", c.name)
 	case notRun:
 		a.Close()
-		return &Answer{Leaving: out.Leaving, Load: out.Load}, fault.New(fault.KindTargetShed, "target %s refused the request without running it", c.name)
+		return &Answer{Notice: out.Notice, Load: out.Load}, fault.New(fault.KindTargetShed, "target %s refused the request without running it", c.name)
 	}
 	return out, nil
 }
--- /dev/null
+++ b/pkg/peer/target/notice_test.go
@@ -0,0 +1,102 @@
+package target
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// noticeDialect has the fields that tell whose an answer is.
+var noticeDialect = wire.Dialect{
+	RequestID: "Id", DeadlineMS: "Deadline", ExpectTarget: "Wanted", NotRun: "Not-Run", Stamp: "Stamp", EchoID: true, Leaving: "Leaving",
+}
+
+// noticeOf returns what is read of one answer with a status and fields.
+func noticeOf(t *testing.T, status int, fields map[string]string) Notice {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for k, v := range fields {
+			w.Header().Set(k, v)
+		}
+		w.WriteHeader(status)
+	}))
+	defer s.Close()
+	c := New(upstream.NewDialer(upstream.Options{}), Options{Name: "t1", Address: s.Listener.Addr().String(), Connections: 1, Dialect: noticeDialect})
+	defer c.Close()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://x/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "7")
+	body, err := upstream.NewBody(r, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := c.Send(t.Context(), r, body, time.Now().Add(time.Minute), upstream.Terms{})
+	if err == nil {
+		defer a.Close()
+		_, _ = io.Copy(io.Discard, a.Body)
+	}
+	if a == nil {
+		t.Fatal(err)
+	}
+	return a.Notice
+}
+
+func TestLeavingIsReadFromEachAnswerOfTheTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		fields map[string]string
+		want   bool
+	}{
+		"success":                   {200, map[string]string{"Id": "7", "Stamp": "s", "Leaving": "1"}, true},
+		"native value":              {200, map[string]string{"Id": "7", "Stamp": "s", "Leaving": "true"}, true},
+		"its own failure":           {500, map[string]string{"Id": "7", "Leaving": "1"}, true},
+		"refusal":                   {503, map[string]string{"Id": "7", "Not-Run": "1", "Leaving": "1"}, true},
+		"refusal without an id":     {503, map[string]string{"Not-Run": "1", "Leaving": "1"}, true},
+		"no sign":                   {200, map[string]string{"Id": "7", "Stamp": "s"}, false},
+		"said not to":               {200, map[string]string{"Id": "7", "Stamp": "s", "Leaving": "0"}, false},
+		"an unknown value":          {200, map[string]string{"Id": "7", "Stamp": "s", "Leaving": "soon"}, false},
+		"answer of another":         {200, map[string]string{"Id": "8", "Stamp": "s", "Leaving": "1"}, false},
+		"no stamp":                  {200, map[string]string{"Id": "7", "Leaving": "1"}, false},
+		"failure without an id":     {500, map[string]string{"Leaving": "1"}, false},
+		"address of another server": {421, nil, true},
+	} {
+		if got := noticeOf(t, c.status, c.fields); got.Leaving != c.want {
+			t.Errorf("%s: leaving is %t", name, got.Leaving)
+		}
+	}
+}
+
+func TestRetryAfterIsReadWithinItsBound(t *testing.T) {
+	for text, want := range map[string]Notice{
+		"":                              {},
+		"2":                             {RetryAfter: 2 * time.Second},
+		"0.25":                          {RetryAfter: 250 * time.Millisecond},
+		"0":                             {},
+		"-3":                            {Malformed: "-3"},
+		"soon":                          {Malformed: "soon"},
+		"NaN":                           {Malformed: "NaN"},
+		"Wed, 21 Oct 2026 07:28:00 GMT": {Malformed: "Wed, 21 Oct 2026 07:28:00 GMT"},
+		fmt.Sprint(365 * 24 * 3600):     {RetryAfter: DefaultMaxRetryAfter},
+		"1e300":                         {RetryAfter: DefaultMaxRetryAfter},
+	} {
+		fields := map[string]string{"Id": "7", "Not-Run": "1", "Retry-After": text}
+		if got := noticeOf(t, http.StatusServiceUnavailable, fields); got != want {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+	}
+	fields := map[string]string{"Id": "7", "Stamp": "s", "Retry-After": "2"}
+	if got := noticeOf(t, http.StatusOK, fields); got != (Notice{}) {
+		t.Errorf("on a success: %+v", got)
+	}
+	if got := noticeOf(t, http.StatusServiceUnavailable, map[string]string{"Id": "7", "Retry-After": "2"}); got.RetryAfter != 2*time.Second {
+		t.Errorf("on a failure of the target's own: %+v", got)
+	}
+}
--- a/pkg/peer/target/probe.go
+++ b/pkg/peer/target/probe.go
@@ -56,7 +56,7 @@
 	if err != nil || c.dialect.TargetID != "" && health.header.Get(c.dialect.TargetID) != c.name {
 		return Report{}
 	}
-	rep := Report{Healthy: health.status < http.StatusMultipleChoices}
+	rep := Report{Healthy: health.status < http.StatusMultipleChoices, Leaving: health.leaving}
 	if ms, err := strconv.ParseInt(health.header.Get(c.dialect.ColdMS), 10, 64); err == nil && ms > 0 {
 		rep.Cold = time.Duration(ms) * time.Millisecond
 	}
@@ -92,8 +92,7 @@
 	if err == nil && len(body) > maxReportBytes {
 		err = fault.New(fault.KindTargetGarbage, "the report of target %s is longer than %d bytes", c.name, maxReportBytes)
 	}
-	leaving := c.dialect.Leaving != "" && a.Header.Get(c.dialect.Leaving) == "true"
-	return probeAnswer{a.StatusCode, leaving, a.Header}, body, err
+	return probeAnswer{a.StatusCode, saysLeaving(a.Header, &c.dialect), a.Header}, body, err
 }
 
 // InFlight returns the number of requests on the target's connections.
--- a/pkg/peer/target/target.go
+++ b/pkg/peer/target/target.go
@@ -36,6 +36,9 @@
 	// HealthPath is the path of the health endpoint; empty means the system's
 	// own endpoints for health and load.
 	HealthPath string
+	// MaxRetryAfter bounds the time for which a target may ask for no requests.
+	// Default DefaultMaxRetryAfter.
+	MaxRetryAfter time.Duration
 }
 
 // Client sends requests to one target.
@@ -44,14 +47,19 @@
 	pool       *upstream.Pool
 	dialect    wire.Dialect
 	healthPath string
+	maxRest    time.Duration
 	// named is set once the target has given its name on an answer.
 	named atomic.Bool
 }
 
 // New returns a client of a target.
 func New(d *upstream.Dialer, o Options) *Client {
+	if o.MaxRetryAfter <= 0 {
+		o.MaxRetryAfter = DefaultMaxRetryAfter
+	}
 	return &Client{
-		name: o.Name, pool: upstream.NewPool(d, o.Address, o.Connections),
+		maxRest: o.MaxRetryAfter,
+		name:    o.Name, pool: upstream.NewPool(d, o.Address, o.Connections),
 		dialect: o.Dialect, healthPath: o.HealthPath,
 	}
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -35,6 +35,8 @@
 const (
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
+	// minAnswerHeaders holds a few headers of the largest size at once.
+	minAnswerHeaders = 1 << 20
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -126,6 +128,7 @@
 		{"limits.header_timeout", s.Limits.HeaderTimeout},
 		{"limits.idle_timeout", s.Limits.IdleTimeout},
 		{"limits.dial_timeout", s.Limits.DialTimeout},
+		{"limits.max_retry_after", s.Limits.MaxRetryAfter},
 		{"probe.interval", s.Probe.Interval},
 		{"probe.timeout", s.Probe.Timeout},
 		{"leave.min_lookup_ttl", s.Leave.MinLookupTTL},
@@ -143,6 +146,12 @@
 	if n := s.Limits.MaxHeaderBytes; n < minHeaderBytes || n > maxHeaderBytes {
 		return &problem{"limits.max_header_bytes", strconv.Itoa(n), acceptedHeader}
 	}
+	if n := s.Limits.MemoryMB; n < 0 {
+		return &problem{"limits.memory_mb", strconv.Itoa(n), "a number of MB from 0"}
+	}
+	if n := s.Limits.AnswerHeaders; n < minAnswerHeaders {
+		return &problem{"limits.answer_headers", strconv.Itoa(n), "1048576 bytes or more"}
+	}
 	return nil
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -113,6 +113,15 @@
 	IdleTimeout Duration `yaml:"idle_timeout"`
 	// DialTimeout bounds the opening of a connection. Default 1s.
 	DialTimeout Duration `yaml:"dial_timeout"`
+	// MaxRetryAfter bounds the time for which a target may ask for no requests.
+	// Default 10m.
+	MaxRetryAfter Duration `yaml:"max_retry_after"`
+	// AnswerHeaders bounds, in bytes, the memory that the headers of all answers
+	// of targets may take together beyond the usual size of one. Default 16 MiB.
+	AnswerHeaders int `yaml:"answer_headers"`
+	// MemoryMB is the memory, in MB, above which the process is ended by whoever
+	// runs it. Default 0: there is no such bound.
+	MemoryMB int `yaml:"memory_mb"`
 }
 
 // Probe sets how targets are watched.
@@ -226,6 +235,8 @@
 			HeaderTimeout:  Duration(5 * time.Second),
 			IdleTimeout:    Duration(60 * time.Second),
 			DialTimeout:    Duration(time.Second),
+			MaxRetryAfter:  Duration(10 * time.Minute),
+			AnswerHeaders:  16 << 20,
 		},
 		Probe: Probe{
 			Interval: Duration(500 * time.Millisecond),
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -129,5 +129,11 @@
 	m.scope.Tagged(map[string]string{"target": target}).Histogram("drain_seconds", drainBuckets).RecordDuration(took)
 }
 
+// TargetNotice counts what targets have said of themselves: that they are leaving,
+// that they want no requests for a time, or such a time that can't be read.
+func (m *Metrics) TargetNotice(kind string) {
+	m.scope.Tagged(map[string]string{"notice": kind}).Counter("target_notices").Inc(1)
+}
+
 // Panicked counts a panic that ended one request or message only.
 func (m *Metrics) Panicked() { m.scope.Counter("panics").Inc(1) }
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -16,7 +16,7 @@
 	ExpectTarget string
 	// NotRun is on answers of a target that did not run the request.
 	NotRun string
-	// Leaving is on answers of a target that is leaving.
+	// Leaving is "true" or "1" on answers of a target that is leaving.
 	Leaving string
 	// Load holds the running and waiting requests and the slots of a target.
 	Load string
