Bound the memory that headers without end take over all connections

Cause: a header might take 256 KiB on each connection, and a line of five bytes some 130 in memory: 1,000 connections fed such headers took 207 MB, where a machine has 184.

--- a/pkg/daemoncmd/daemoncmd.go
+++ b/pkg/daemoncmd/daemoncmd.go
@@ -81,11 +81,18 @@
 // and memory costs more than the time that it takes to collect it.
 const gcPercent = 60
 
+// memoryReserve is the part of the process's memory that is left for what the
+// language's runtime does not count, such as bytes in sockets: one in so many.
+const memoryReserve = 8
+
 // serve runs one instance until ctx ends and it has left.
 func serve(ctx context.Context, file string, s *settings.Settings, open Opener) error {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if mb := s.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 / memoryReserve * (memoryReserve - 1))
+	}
 	log, err := telemetry.NewLogger(s.Log.Level)
 	if err != nil {
 		return err
--- a/pkg/peer/upstream/dialer.go
+++ b/pkg/peer/upstream/dialer.go
@@ -15,6 +15,9 @@
 	DialTimeout time.Duration
 	// MaxAnswerHeaderBytes bounds the header of an answer. Default 256 KiB.
 	MaxAnswerHeaderBytes int64
+	// AnswerHeaders bounds the memory, in bytes, that the headers of all answers
+	// may take together beyond usualHeader each. Default 16 MiB.
+	AnswerHeaders int64
 	// Generations sets when a connection is doubted. Default
 	// conngen.DefaultLimits.
 	Generations conngen.Limits
@@ -35,6 +38,7 @@
 	defaultDistrust             = 10 * time.Minute
 	keepAliveProbes             = 2
 	defaultMaxAnswerHeaderBytes = 256 << 10
+	defaultAnswerHeaders        = 16 << 20
 	// bufferBytes is the size of the read and write buffers of one connection.
 	bufferBytes = 8 << 10
 )
@@ -43,6 +47,7 @@
 type Dialer struct {
 	dialer    net.Dialer
 	maxHeader int64
+	headers   *headerMemory
 	limits    conngen.Limits
 	now       func() time.Time
 	distrust  time.Duration
@@ -56,6 +61,9 @@
 	if o.MaxAnswerHeaderBytes <= 0 {
 		o.MaxAnswerHeaderBytes = defaultMaxAnswerHeaderBytes
 	}
+	if o.AnswerHeaders <= 0 {
+		o.AnswerHeaders = defaultAnswerHeaders
+	}
 	if o.Generations == (conngen.Limits{}) {
 		o.Generations = conngen.DefaultLimits()
 	}
@@ -73,6 +81,7 @@
 		dialer:    d,
 		distrust:  o.DistrustFor,
 		maxHeader: o.MaxAnswerHeaderBytes,
+		headers:   newHeaderMemory(o.AnswerHeaders),
 		limits:    o.Generations,
 		now:       o.Now,
 	}
@@ -98,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := newWireConn(nc)
+	w := newWireConn(nc, d.headers)
 	return &conn{wire: w, br: bufio.NewReaderSize(w, bufferBytes), bw: bufio.NewWriterSize(w, bufferBytes)}, nil
 }
 
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -17,6 +17,7 @@
 
 var (
 	errHeaderTooLarge = errors.New("the header of the answer is too large")
+	errHeaderMemory   = errors.New("the headers of all answers take too much memory")
 	errInterim        = errors.New("too many interim answers")
 	errLate           = errors.New("the time to send has passed")
 	errSwitch         = errors.New("the protocol was switched without being asked")
@@ -135,8 +136,8 @@
 
 // readAnswer reads up to the header of the final answer.
 func (c *conn) readAnswer(ctx context.Context, r *http.Request, maxHeader int64) (*http.Response, error) {
-	c.wire.left = maxHeader
-	defer func() { c.wire.left = -1 }()
+	c.wire.beginHeader(maxHeader)
+	defer c.wire.endHeader()
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.br, r)
 		switch {
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -21,10 +21,14 @@
 	// left is how many bytes of the present header may still be read; negative
 	// means that there is no bound.
 	left int64
+	// memory is shared by all connections, and header is what the present header
+	// takes of it.
+	memory *headerMemory
+	header headerUse
 }
 
-func newWireConn(c net.Conn) *wireConn {
-	w := &wireConn{Conn: c, left: -1}
+func newWireConn(c net.Conn, m *headerMemory) *wireConn {
+	w := &wireConn{Conn: c, left: -1, memory: m}
 	if s, ok := c.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			w.raw = raw
@@ -39,6 +43,15 @@
 	c.read.Store(false)
 }
 
+// beginHeader starts the reading of a header of at most limit bytes.
+func (c *wireConn) beginHeader(limit int64) { c.left = limit }
+
+// endHeader ends the reading of a header.
+func (c *wireConn) endHeader() {
+	c.left = -1
+	c.memory.release(&c.header)
+}
+
 // Write marks the exchange as written unless the connection refused all of b.
 func (c *wireConn) Write(b []byte) (int, error) {
 	first := c.wrote.CompareAndSwap(false, true)
@@ -63,6 +76,9 @@
 	}
 	if c.left > 0 {
 		c.left -= int64(n)
+		if !c.memory.take(&c.header, b[:n]) {
+			return 0, errHeaderMemory
+		}
 	}
 	if err != nil {
 		c.ended.Store(true)
