Tell callers whom a target has turned away when it has room

Cause: a caller whose request the target refused was told to come back after a second, whatever the target said of its load: a target that refuses some requests beside free slots would have run it at once, and a second is later than the target latency of most routes. Ruled out: more retries by the instance; the budget bounds them over all instances. Change: Core.ComeBack, from the load that comes with the refusal: at once, spread, with free slots, else once what waits has been worked off. Test: TestCallersTurnedAwayByATargetComeBackWhenItHasRoom.

--- /dev/null
+++ b/pkg/decision/steer/comeback.go
@@ -0,0 +1,17 @@
+package steer
+
+import "time"
+
+// ComeBack returns when a caller may come back whose last attempt d was turned away
+// by its target, and false when nothing is known of that. It answers two loads. A
+// target that turns some requests away while it has free slots may run the same
+// request at once; a caller that is told to wait would be late in any case. A target
+// whose slots are taken has room once what waits there has been worked off.
+func (c *Core) ComeBack(d Decision, load *TargetLoad) (time.Duration, bool) {
+	if d.route == nil || load == nil || load.Slots <= 0 {
+		return 0, false
+	}
+	ahead := max(0, load.Running+load.Waiting+1-load.Slots)
+	work := d.route.warm.Value(d.stats.service.Value(priorService))
+	return c.overloaded(work * time.Duration(ahead) / time.Duration(load.Slots)).RetryAfter, true
+}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -37,6 +37,8 @@
 	// kind is how the request has ended, and last its last attempt.
 	kind fault.Kind
 	last steer.Decision
+	// load is what the target of the last attempt has said of its load, or nil.
+	load *steer.TargetLoad
 	// basis is what the last decision rested on.
 	basis steer.Basis
 	// proven is set when the request has no id that is honoured, or the
@@ -67,14 +69,24 @@
 		}
 		x.logAttempt(err)
 		if !errors.Is(err, errTargetFailed) && !x.mayRetry(err) {
-			f := caller.RefusalOf(err)
-			f.Kind = x.req.Answer(f.Kind)
-			x.refuse(f)
+			x.refuse(x.lastRefusal(err))
 			return
 		}
 	}
 }
 
+// lastRefusal answers for the last attempt, which ended with err.
+func (x *exchange) lastRefusal(err error) caller.Refusal {
+	f := caller.RefusalOf(err)
+	if f.Kind == fault.KindTargetShed {
+		if after, ok := x.node.core.ComeBack(x.last, x.load); ok {
+			f.RetryAfter = after
+		}
+	}
+	f.Kind = x.req.Answer(f.Kind)
+	return f
+}
+
 // takeBody prepares the request's body, or refuses it.
 func (x *exchange) takeBody() bool {
 	body, err := upstream.NewBody(x.in, x.req.Route.MaxBody)
@@ -144,7 +156,7 @@
 	t, settle := x.make(d)
 	defer settle()
 	defer t.done()
-	x.last = t.d
+	x.last, x.load = t.d, t.res.Load
 	if t.err == nil && t.res.Failed && x.mayRetry(errTargetFailed) {
 		t.res.Kind = fault.KindTargetFailed
 		return errTargetFailed
