Divide a split route by object, and by what each part lacks

Cause: the service of a request of a split route was drawn by a counter of its instance: each object went to all services by turns and was learnt at each, and instances that started together all began with the same one. Ruled out: drawing by object alone, which misses the weights by 0.14 with 72 objects. Change: pkg/decision/split. A part owns a range of points, an object lies at one; a part that has got too many requests gives away what lies nearest to its bound. Test: shares within 0.1 over 300 requests of an instance, 1 to 30 instances, 20 to 500 objects; an object is at 1.19 parts of two on average (in turns: 2.00), the largest error of a share 0.035 (by object: 0.138).

--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/retry"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/split"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 )
 
@@ -277,33 +278,27 @@
 // pickService returns the service that the route's weights give r to. The
 // weights of a service's pools are equal.
 func (rt *route) pickService(st *state, r *Request) string {
-	total := 0
-	last := ""
+	var room [maxParts]split.Part
+	parts := room[:0]
 	for _, w := range r.Route.Pools {
-		if s := st.serviceOf(w.Pool); s != "" && s != last {
-			total += w.Weight
-			last = s
+		s := st.serviceOf(w.Pool)
+		if s != "" && (len(parts) == 0 || parts[len(parts)-1].Name != s) {
+			parts = append(parts, split.Part{Name: s, Weight: w.Weight})
 		}
 	}
-	if total == 0 {
-		return last
+	if len(parts) == 1 {
+		return parts[0].Name
 	}
-	_, point := math.Modf(float64(rt.arrivals.Add(1)) * goldenRatio)
-	left := point * float64(total)
-	last = ""
-	for _, w := range r.Route.Pools {
-		s := st.serviceOf(w.Pool)
-		if s == "" || s == last {
-			continue
-		}
-		last = s
-		if left -= float64(w.Weight); left < 0 {
-			return s
-		}
+	point := drawOf(hashOf(r.Route.Name), r.Key)
+	if !r.hasObject() {
+		_, point = math.Modf(float64(rt.arrivals.Add(1)) * goldenRatio)
 	}
-	return last
+	return rt.divider.Pick(parts, point)
 }
 
+// maxParts is the number of a route's services that need no memory of their own.
+const maxParts = 4
+
 // serviceOf returns the service of the named pool, or "".
 func (st *state) serviceOf(name string) string {
 	if p, ok := st.pools[name]; ok {
--- a/pkg/decision/steer/route.go
+++ b/pkg/decision/steer/route.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/choice"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/shift"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/spill"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/split"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
@@ -29,6 +30,8 @@
 	// which the target knows through other instances. They are for direct dispatch.
 	warm choice.Floor
 	cold choice.Ceiling
+	// divider divides the requests among the route's services, for direct dispatch.
+	divider split.Divider
 	// bodies follows the size of the requests' bodies, in bytes.
 	bodies choice.Size
 }
