--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -99,7 +99,7 @@
 // advance moves on what follows the time. The caller holds the write lock.
 func (c *Core) advance(now time.Time) {
 	if c.direct != nil {
-		c.moveSpreads(now)
+		c.movePlacements(now)
 		return
 	}
 	c.replan(now)
--- a/pkg/decision/steer/objects.go
+++ b/pkg/decision/steer/objects.go
@@ -14,9 +14,9 @@
 // service is a service with its pools, one for each region.
 type service struct {
 	pools []*pool
-	// spreads says how the objects of routes are spread, by the regions that the
+	// placements says how the objects of routes are spread, by the regions that the
 	// routes allow (see regionsKey).
-	spreads map[string]*spread
+	placements map[string]*rampedPlacement
 }
 
 // zoneSlots is a zone of a pool with the slots of its targets that are not
@@ -151,7 +151,7 @@
 // then there are no weights.
 func (c *Core) placementOf(st *state, r *Request, ns int64) placement {
 	if s, ok := st.services[r.service]; ok {
-		if sp, ok := s.spreads[regionsKey(r.Route.Regions)]; ok {
+		if sp, ok := s.placements[regionsKey(r.Route.Regions)]; ok {
 			sp.use.note(ns, c.direct.policy.ShiftWindow)
 			return *sp.now.Load()
 		}
--- a/pkg/decision/steer/spread.go
+++ b/pkg/decision/steer/placement.go
@@ -13,9 +13,9 @@
 // the rest covers uneven arrivals.
 const rampPart = 0.6
 
-// spread is the placement of objects over a service, on its way to what the targets
+// rampedPlacement is the placement of objects over a service, on its way to what the targets
 // ask for while the cap on the shares of regions holds it back.
-type spread struct {
+type rampedPlacement struct {
 	pools  []*pool
 	wanted placement
 	now    atomic.Pointer[placement]
@@ -26,7 +26,7 @@
 	settled bool
 }
 
-// use follows when requests are placed by a spread. An instance that has not placed
+// use follows when requests use a placement. An instance that has not placed
 // any for a window of the cap, or has just begun, has no shares to keep: its view of
 // the targets may just be filling, or be older than that of the others.
 type use struct {
@@ -50,48 +50,48 @@
 // regionsKey names a list of allowed regions.
 func regionsKey(regions []string) string { return strings.Join(regions, " ") }
 
-// spreadFor adds the spread over s for routes that allow the regions, which goes on
+// addPlacement adds the placement over s for routes that allow the regions, which goes on
 // from that of the tables before.
-func (c *Core) spreadFor(now int64, s, old *service, regions []string) {
+func (c *Core) addPlacement(now int64, s, old *service, regions []string) {
 	key := regionsKey(regions)
-	if s.spreads[key] != nil {
+	if s.placements[key] != nil {
 		return
 	}
-	sp := &spread{pools: s.pools, wanted: newPlacement(c.self, s.pools, regions), use: &use{}}
-	if old != nil && old.spreads[key] != nil {
-		sp.use = old.spreads[key].use
-		for i := range sp.ramps {
-			sp.ramps[i] = old.spreads[key].ramps[i].Clone()
+	rp := &rampedPlacement{pools: s.pools, wanted: newPlacement(c.self, s.pools, regions), use: &use{}}
+	if old != nil && old.placements[key] != nil {
+		rp.use = old.placements[key].use
+		for i := range rp.ramps {
+			rp.ramps[i] = old.placements[key].ramps[i].Clone()
 		}
 	}
-	sp.move(now, c.direct.policy)
-	s.spreads[key] = sp
+	rp.move(now, c.direct.policy)
+	s.placements[key] = rp
 }
 
-// move brings the spread on to now.
-func (sp *spread) move(now int64, p Direct) {
+// move brings the placement on to now.
+func (rp *rampedPlacement) move(now int64, p Direct) {
 	next := placement{}
-	sp.settled = true
-	if !sp.use.steady(now, p.ShiftWindow) {
-		sp.ramps = [3]affinity.Ramp{}
+	rp.settled = true
+	if !rp.use.steady(now, p.ShiftWindow) {
+		rp.ramps = [3]affinity.Ramp{}
 	}
 	for i, w := range []struct {
 		wanted slotWeights
 		to     *slotWeights
-	}{{sp.wanted.region, &next.region}, {sp.wanted.zone, &next.zone}, {sp.wanted.next, &next.next}} {
+	}{{rp.wanted.region, &next.region}, {rp.wanted.zone, &next.zone}, {rp.wanted.next, &next.next}} {
 		if w.wanted == nil {
-			sp.ramps[i] = affinity.Ramp{}
+			rp.ramps[i] = affinity.Ramp{}
 			continue
 		}
-		*w.to = sp.ramped(w.wanted, &sp.ramps[i], now, p)
+		*w.to = rp.ramped(w.wanted, &rp.ramps[i], now, p)
 	}
-	sp.now.Store(&next)
+	rp.now.Store(&next)
 }
 
 // ramped returns the weights scaled to the shares that the regions may have by now.
-func (sp *spread) ramped(wanted slotWeights, r *affinity.Ramp, now int64, p Direct) slotWeights {
-	regions, want, sum := make([]string, len(sp.pools)), make([]float64, len(sp.pools)), 0.0
-	for i, pl := range sp.pools {
+func (rp *rampedPlacement) ramped(wanted slotWeights, r *affinity.Ramp, now int64, p Direct) slotWeights {
+	regions, want, sum := make([]string, len(rp.pools)), make([]float64, len(rp.pools)), 0.0
+	for i, pl := range rp.pools {
 		regions[i] = pl.row.Region
 		for z, w := range wanted[i] {
 			want[i] += w * pl.zoneSlots[z].open
@@ -108,7 +108,7 @@
 	if settled {
 		return wanted
 	}
-	sp.settled = false
+	rp.settled = false
 	scaled := make(slotWeights, len(wanted))
 	for i, weights := range wanted {
 		scaled[i] = slices.Clone(weights)
@@ -121,13 +121,13 @@
 	return scaled
 }
 
-// moveSpreads brings the spreads that have not settled on to now. The caller holds
+// movePlacements brings the placements that have not settled on to now. The caller holds
 // the write lock.
-func (c *Core) moveSpreads(now time.Time) {
+func (c *Core) movePlacements(now time.Time) {
 	for _, s := range c.state.Load().services {
-		for _, sp := range s.spreads {
-			if !sp.settled {
-				sp.move(c.nanos(now), c.direct.policy)
+		for _, rp := range s.placements {
+			if !rp.settled {
+				rp.move(c.nanos(now), c.direct.policy)
 			}
 		}
 	}
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -113,7 +113,7 @@
 func (st *state) addToService(p *pool) {
 	s, ok := st.services[p.row.Service]
 	if !ok {
-		s = &service{spreads: make(map[string]*spread)}
+		s = &service{placements: make(map[string]*rampedPlacement)}
 		st.services[p.row.Service] = s
 	}
 	s.pools = append(s.pools, p)
@@ -150,18 +150,18 @@
 	}
 	st.routes[row.Name] = rt
 	if c.direct != nil {
-		c.addSpreads(now, st, old, row)
+		c.addPlacements(now, st, old, row)
 		return
 	}
 	rt.replan(c, now, st, row)
 }
 
-// addSpreads adds how the objects of a route are spread over its services.
-func (c *Core) addSpreads(now time.Time, st, old *state, row *table.Route) {
+// addPlacements adds how the objects of a route are spread over its services.
+func (c *Core) addPlacements(now time.Time, st, old *state, row *table.Route) {
 	for _, w := range row.Pools {
 		name := st.serviceOf(w.Pool)
 		if s, ok := st.services[name]; ok {
-			c.spreadFor(c.nanos(now), s, old.services[name], row.Regions)
+			c.addPlacement(c.nanos(now), s, old.services[name], row.Regions)
 		}
 	}
 }
