--- a/pkg/decision/choice/latency.go
+++ b/pkg/decision/choice/latency.go
@@ -66,73 +66,55 @@
 	return fallback
 }
 
-// Weights of one observation in a Floor.
+// Weights of one observation above and below a Floor or a Ceiling.
 const (
-	floorFall = 0.2
-	floorRise = 0.005
+	floorRise   = 0.005
+	floorFall   = 0.2
+	ceilingRise = 0.2
+	ceilingFall = 0.01
 )
 
-// Floor follows the low end of the observed durations. The zero value knows
-// nothing. It may be used from several goroutines at once; concurrent
-// observations may be lost.
-type Floor struct {
+// edge follows one end of the observed durations, by different weights of those
+// above and below.
+type edge struct {
 	nanos atomic.Uint64
 }
 
-// Observe takes in one duration.
-func (f *Floor) Observe(d time.Duration) {
-	old := math.Float64frombits(f.nanos.Load())
-	weight := floorRise
+func (e *edge) observe(d time.Duration, rise, fall float64) {
+	old := math.Float64frombits(e.nanos.Load())
+	weight := rise
 	switch {
 	case old == 0:
 		weight = 1
 	case float64(d) < old:
-		weight = floorFall
+		weight = fall
 	}
-	f.nanos.Store(math.Float64bits(old + weight*(float64(d)-old)))
+	e.nanos.Store(math.Float64bits(old + weight*(float64(d)-old)))
 }
 
 // Value returns the estimate, or fallback when nothing was observed.
-func (f *Floor) Value(fallback time.Duration) time.Duration {
-	if v := math.Float64frombits(f.nanos.Load()); v > 0 {
+func (e *edge) Value(fallback time.Duration) time.Duration {
+	if v := math.Float64frombits(e.nanos.Load()); v > 0 {
 		return time.Duration(v)
 	}
 	return fallback
 }
 
-// Weights of one observation in a Ceiling.
-const (
-	ceilingRise = 0.2
-	ceilingFall = 0.01
-)
+// Floor follows the low end of the observed durations. The zero value knows
+// nothing. It may be used from several goroutines at once; concurrent
+// observations may be lost.
+type Floor struct{ edge }
+
+// Observe takes in one duration.
+func (f *Floor) Observe(d time.Duration) { f.observe(d, floorRise, floorFall) }
 
 // Ceiling follows the high end of the observed durations. The zero value knows
 // nothing. It may be used from several goroutines at once; concurrent observations
 // may be lost.
-type Ceiling struct {
-	nanos atomic.Uint64
-}
+type Ceiling struct{ edge }
 
 // Observe takes in one duration.
-func (c *Ceiling) Observe(d time.Duration) {
-	old := math.Float64frombits(c.nanos.Load())
-	weight := ceilingFall
-	switch {
-	case old == 0:
-		weight = 1
-	case float64(d) > old:
-		weight = ceilingRise
-	}
-	c.nanos.Store(math.Float64bits(old + weight*(float64(d)-old)))
-}
-
-// Value returns the estimate, or fallback when nothing was observed.
-func (c *Ceiling) Value(fallback time.Duration) time.Duration {
-	if v := math.Float64frombits(c.nanos.Load()); v > 0 {
-		return time.Duration(v)
-	}
-	return fallback
-}
+func (c *Ceiling) Observe(d time.Duration) { c.observe(d, ceilingRise, ceilingFall) }
 
 // Size is a moving mean of sizes in bytes. The zero value knows nothing. It may
 // be used from several goroutines at once; concurrent observations may be lost.
--- a/pkg/peer/upstream/endless_test.go
+++ b/pkg/peer/upstream/endless_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"sync"
@@ -51,21 +50,6 @@
 	}
 }
 
-// askAll sends one request over p and reads its whole answer.
-func askAll(ctx context.Context, p *Pool) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://x/", http.NoBody)
-	if err != nil {
-		return err
-	}
-	a, err := p.Send(ctx, r)
-	if err != nil {
-		return err
-	}
-	defer a.Close()
-	_, err = io.Copy(io.Discard, a.Body)
-	return err
-}
-
 // endlessAnswers are the ways in which bytes that are no answer never end.
 var endlessAnswers = map[string]struct {
 	first, unit string
@@ -91,7 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := NewPool(NewDialer(Options{}), endless(t, c.first, c.unit, 0), 1)
 			defer p.Close()
-			if err := askAll(t.Context(), p); (err == nil) != c.whole {
+			if err := send(t.Context(), p); (err == nil) != c.whole {
 				t.Errorf("error %v", err)
 			}
 			if c.whole {
@@ -115,7 +99,7 @@
 			defer p.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
 			defer cancel()
-			if err := askAll(ctx, p); err == nil || p.Open() != 0 {
+			if err := send(ctx, p); err == nil || p.Open() != 0 {
 				t.Errorf("error %v, %d connections open", err, p.Open())
 			}
 		})
@@ -141,7 +125,7 @@
 	for range connections {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				_ = askAll(ctx, p)
+				_ = send(ctx, p)
 			}
 		})
 	}
