--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -120,7 +120,8 @@
 	Ticket uint64
 
 	// What Done gives back and takes in.
-	slot        *slot
+	slot *slot
+	// slots are those of the target.
 	slots       int64
 	region      *region
 	zone        *zoneStats
