--- a/pkg/decision/steer/placement.go
+++ b/pkg/decision/steer/placement.go
@@ -13,8 +13,8 @@
 // the rest covers uneven arrivals.
 const rampPart = 0.6
 
-// rampedPlacement is the placement of objects over a service, on its way to what the targets
-// ask for while the cap on the shares of regions holds it back.
+// rampedPlacement is the placement of objects over a service, on its way to what the
+// targets ask for while the cap on the shares of regions holds it back.
 type rampedPlacement struct {
 	pools  []*pool
 	wanted placement
@@ -50,13 +50,10 @@
 // regionsKey names a list of allowed regions.
 func regionsKey(regions []string) string { return strings.Join(regions, " ") }
 
-// addPlacement adds the placement over s for routes that allow the regions, which goes on
-// from that of the tables before.
-func (c *Core) addPlacement(now int64, s, old *service, regions []string) {
+// rampedPlacementFor returns the placement over s for routes that allow the regions.
+// It goes on from that over the service of the tables before, if there was one.
+func (c *Core) rampedPlacementFor(now int64, s, old *service, regions []string) *rampedPlacement {
 	key := regionsKey(regions)
-	if s.placements[key] != nil {
-		return
-	}
 	rp := &rampedPlacement{pools: s.pools, wanted: newPlacement(c.self, s.pools, regions), use: &use{}}
 	if old != nil && old.placements[key] != nil {
 		rp.use = old.placements[key].use
@@ -65,7 +62,7 @@
 		}
 	}
 	rp.move(now, c.direct.policy)
-	s.placements[key] = rp
+	return rp
 }
 
 // move brings the placement on to now.
@@ -121,8 +118,8 @@
 	return scaled
 }
 
-// movePlacements brings the placements that have not settled on to now. The caller holds
-// the write lock.
+// movePlacements brings the placements that have not settled on to now. The caller
+// holds the write lock.
 func (c *Core) movePlacements(now time.Time) {
 	for _, s := range c.state.Load().services {
 		for _, rp := range s.placements {
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -158,10 +158,16 @@
 
 // addPlacements adds how the objects of a route are spread over its services.
 func (c *Core) addPlacements(now time.Time, st, old *state, row *table.Route) {
+	key, last := regionsKey(row.Regions), ""
 	for _, w := range row.Pools {
+		// The pools of a service stand together.
 		name := st.serviceOf(w.Pool)
-		if s, ok := st.services[name]; ok {
-			c.addPlacement(c.nanos(now), s, old.services[name], row.Regions)
+		if name == last {
+			continue
+		}
+		last = name
+		if s, ok := st.services[name]; ok && s.placements[key] == nil {
+			s.placements[key] = c.rampedPlacementFor(c.nanos(now), s, old.services[name], row.Regions)
 		}
 	}
 }
