Look at the end of a lease right before the first byte is written

Cause: the time in which a request may be sent was compared when its connection was ready. A pause of the process while the request was being written let it go out after its shares had gone to others. Change: wireConn.Write compares, once for each exchange; the failure is Late and nothing was sent. Test: TestNothingIsSentAfterAPauseThatOutlastsItsTime, with a body held whole and one that streams; both failed before.

--- a/pkg/peer/upstream/dialer.go
+++ b/pkg/peer/upstream/dialer.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := newWireConn(nc, d.headers)
+	w := newWireConn(nc, d.headers, d.now)
 	return &conn{wire: w, br: bufio.NewReaderSize(w, bufferBytes), bw: bufio.NewWriterSize(w, bufferBytes)}, nil
 }
 
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -78,8 +78,8 @@
 
 // get returns a connection for a request that is about to be sent: an idle
 // one that is not in doubt, or a new one.
-func (p *Pool) get(ctx context.Context, once bool) (*conn, error) {
-	c, g, err := p.take(once)
+func (p *Pool) get(ctx context.Context, t Terms) (*conn, error) {
+	c, g, err := p.take(t.Once)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 		}
 		c.generation = g
 	}
-	c.wire.begin()
+	c.wire.begin(t.NotAfter)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.sent, c.silent = p.dialer.now(), false
--- a/pkg/peer/upstream/pool_test.go
+++ b/pkg/peer/upstream/pool_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -263,3 +265,32 @@
 		t.Errorf("opened %d connections in all, want 7", n)
 	}
 }
+
+// TestNothingIsSentAfterAPauseThatOutlastsItsTime: the process is paused while the
+// request is being written, before its first byte has left.
+func TestNothingIsSentAfterAPauseThatOutlastsItsTime(t *testing.T) {
+	for _, streams := range []bool{false, true} {
+		s := startServer(t)
+		p, c := newTestPool(t, s, 1)
+		pause := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { c.advance(time.Minute) }})
+		r, err := http.NewRequestWithContext(pause, "POST", "http://"+p.Address()+"/", strings.NewReader("once"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if streams {
+			r.ContentLength = -1
+			b, err := NewBody(r, 100)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Body = b.Attempt()
+		}
+		_, err = p.SendUnder(t.Context(), r, Terms{NotAfter: c.now().Add(time.Second)})
+		if e := AsError(err); err == nil || e.Reason != Late || e.Sent {
+			t.Errorf("streams %t: %v, want nothing sent", streams, err)
+		}
+		if p.Open() != 0 {
+			t.Errorf("streams %t: %d connections are open", streams, p.Open())
+		}
+	}
+}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -52,8 +52,8 @@
 // Terms restrict how a request is sent.
 type Terms struct {
 	// NotAfter ends the time in which the request may be sent; the failure is
-	// then Late. Zero is no bound. It is compared once, when the connection is
-	// ready, so that a pause of the process before is noticed.
+	// then Late. Zero is no bound. It is compared once, right before the first
+	// byte is written, so that a pause of the process before is noticed.
 	NotAfter time.Time
 	// Once marks a request that must not run twice.
 	Once bool
@@ -61,14 +61,10 @@
 
 // SendUnder is Send under the given terms.
 func (p *Pool) SendUnder(ctx context.Context, r *http.Request, t Terms) (*Answer, error) {
-	c, err := p.get(ctx, t.Once)
+	c, err := p.get(ctx, t)
 	if err != nil {
 		return nil, err
 	}
-	if !t.NotAfter.IsZero() && !p.dialer.now().Before(t.NotAfter) {
-		p.put(c, true)
-		return nil, &Error{Reason: Late, Err: errLate}
-	}
 	detach := context.AfterFunc(ctx, func() { _ = c.wire.SetDeadline(past) })
 	written, err := c.write(r)
 	var resp *http.Response
@@ -118,8 +114,9 @@
 	done := make(chan error, 1)
 	go func() {
 		err := c.writeAll(r)
-		if body.failed() {
-			// No answer is to be expected to a request that lacks its end.
+		if body.failed() || c.wire.late.Load() {
+			// No answer is to be expected to a request that lacks its end, or was
+			// not sent.
 			_ = c.wire.SetReadDeadline(past)
 		}
 		done <- err
@@ -178,6 +175,8 @@
 		return BodyFailed
 	}
 	switch {
+	case w.late.Load():
+		return Late
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return TimedOut
 	case ctx.Err() != nil:
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // wireConn records what has crossed a connection, and bounds the header of
@@ -12,6 +13,11 @@
 	net.Conn
 	// raw looks at a TCP connection without consuming; nil for others.
 	raw syscall.RawConn
+	// notAfter ends the time in which the present exchange may begin to be written,
+	// by now; zero is no bound. late is set when it has passed before that.
+	notAfter time.Time
+	now      func() time.Time
+	late     atomic.Bool
 	// wrote is set before the first byte of the present exchange is written.
 	wrote atomic.Bool
 	// read is set when the first byte of the present answer has arrived.
@@ -27,8 +33,8 @@
 	header headerUse
 }
 
-func newWireConn(c net.Conn, m *headerMemory) *wireConn {
-	w := &wireConn{Conn: c, left: -1, memory: m}
+func newWireConn(c net.Conn, m *headerMemory, now func() time.Time) *wireConn {
+	w := &wireConn{Conn: c, left: -1, memory: m, now: now}
 	if s, ok := c.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			w.raw = raw
@@ -37,8 +43,10 @@
 	return w
 }
 
-// begin starts a new exchange.
-func (c *wireConn) begin() {
+// begin starts a new exchange, which may not be written at or after notAfter.
+func (c *wireConn) begin(notAfter time.Time) {
+	c.notAfter = notAfter
+	c.late.Store(false)
 	c.wrote.Store(false)
 	c.read.Store(false)
 }
@@ -52,9 +60,16 @@
 	c.memory.release(&c.header)
 }
 
-// Write marks the exchange as written unless the connection refused all of b.
+// Write marks the exchange as written unless the connection refused all of b. The
+// bound in time is compared here, since the process may have been paused after the
+// request was made.
 func (c *wireConn) Write(b []byte) (int, error) {
 	first := c.wrote.CompareAndSwap(false, true)
+	if first && !c.notAfter.IsZero() && !c.now().Before(c.notAfter) {
+		c.wrote.Store(false)
+		c.late.Store(true)
+		return 0, errLate
+	}
 	n, err := c.Conn.Write(b)
 	if first && n == 0 && err != nil {
 		c.wrote.Store(false)
