Hold the wish of a service's last target against callers that come back, and know incarnations apart

Cause: a caller whose request the last target had turned away with a time was told to come back by that target's load, at once when it had free slots, and was refused again. What had been sent to a target's earlier incarnation counted as known to the next one, so that its first work made it a slow one. And the two looks for resting targets would have stood twice. Ruled out: other targets that are free: then the load decides as before. Change: Core.firstReturn serves both refusals; slots have numbers, by which the memory keeps objects.

--- a/pkg/decision/steer/comeback.go
+++ b/pkg/decision/steer/comeback.go
@@ -6,9 +6,16 @@
 // by its target, and false when nothing is known of that. It answers two loads. A
 // target that turns some requests away while it has free slots may run the same
 // request at once; a caller that is told to wait would be late in any case. A target
-// whose slots are taken has room once what waits there has been worked off.
-func (c *Core) ComeBack(d Decision, load *TargetLoad) (time.Duration, bool) {
-	if d.route == nil || load == nil || load.Slots <= 0 {
+// whose slots are taken has room once what waits there has been worked off. Where
+// it has asked for no requests and r has no other target, that time counts.
+func (c *Core) ComeBack(now time.Time, r *Request, d Decision, load *TargetLoad) (time.Duration, bool) {
+	if d.route == nil {
+		return 0, false
+	}
+	if wait, rest, free := c.firstReturn(r, c.nanos(now)); rest && !free {
+		return c.refusedFor(wait).RetryAfter, true
+	}
+	if load == nil || load.Slots <= 0 {
 		return 0, false
 	}
 	ahead := max(0, load.Running+load.Waiting+1-load.Slots)
--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -29,6 +29,9 @@
 	wait   waiting
 	linger lingerings
 
+	// slotsMade counts the slots, to number them.
+	slotsMade atomic.Uint64
+
 	// direct is set by UseDirect.
 	direct *directState
 }
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -144,7 +144,7 @@
 	est.limit = min(est.limit, r.Deadline.Sub(now))
 	best := c.bestDirect(st, r, est, ns)
 	if best.m == nil {
-		return c.noneOpen(st, r, ns)
+		return c.noneOpen(r, ns)
 	}
 	m := best.m
 	basis := m.basis(ns, best.wait, est.limit)
@@ -161,13 +161,13 @@
 	return Decision{
 		Verdict: Dispatch, Pool: best.p.name, Target: m.target.Name, Address: m.target.Address,
 		slot: m.slot, slots: int64(m.target.Slots), region: best.p.region, stats: best.p.poolStats, at: ns, deadline: c.nanos(r.Deadline),
-		route: rt, known: !r.hasObject() || c.direct.memory.note(m.hash, r.Key), wait: best.wait, distance: best.distance, Basis: basis,
+		route: rt, known: !r.hasObject() || c.direct.memory.note(m.serial, r.Key), wait: best.wait, distance: best.distance, Basis: basis,
 	}
 }
 
 // noneOpen refuses r when no target may get it.
-func (c *Core) noneOpen(st *state, r *Request, ns int64) Decision {
-	if wait, ok := c.firstReturn(st.poolsOf(r.service), r, ns); ok {
+func (c *Core) noneOpen(r *Request, ns int64) Decision {
+	if wait, rest, _ := c.firstReturn(r, ns); rest {
 		return c.refusedFor(wait)
 	}
 	return refuse(fault.KindNoTarget)
--- a/pkg/decision/steer/memory.go
+++ b/pkg/decision/steer/memory.go
@@ -14,10 +14,10 @@
 	older  map[uint64]struct{}
 }
 
-// note takes in that the object was sent to the target, and reports whether it was
-// before.
-func (m *memory) note(target, object uint64) (known bool) {
-	pair := mix(target, object)
+// note takes in that the object was sent to the target whose slot has the serial,
+// and reports whether it was before. A new incarnation has another slot.
+func (m *memory) note(serial, object uint64) (known bool) {
+	pair := mix(serial, object)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known = m.recent[pair]; known {
--- a/pkg/decision/steer/objects.go
+++ b/pkg/decision/steer/objects.go
@@ -151,9 +151,9 @@
 // then there are no weights.
 func (c *Core) placementOf(st *state, r *Request, ns int64) placement {
 	if s, ok := st.services[r.service]; ok {
-		if sp, ok := s.placements[regionsKey(r.Route.Regions)]; ok {
-			sp.use.note(ns, c.direct.policy.ShiftWindow)
-			return *sp.now.Load()
+		if rp, ok := s.placements[regionsKey(r.Route.Regions)]; ok {
+			rp.use.note(ns, c.direct.policy.ShiftWindow)
+			return *rp.now.Load()
 		}
 	}
 	return placement{}
--- a/pkg/decision/steer/rest.go
+++ b/pkg/decision/steer/rest.go
@@ -85,20 +85,26 @@
 	return news
 }
 
-// firstReturn returns how long it takes until a target of the pools that r may be
-// sent to has had the time that it asked for, and false when none has asked.
-func (c *Core) firstReturn(pools []*pool, r *Request, ns int64) (time.Duration, bool) {
-	first, found := waitForever, false
-	for _, p := range pools {
+// firstReturn returns how long it takes until the first of the targets for r that
+// have asked for no requests takes one again. rest says that there are any, and free
+// that there are others. That r was sent to a target before counts for nothing: who
+// comes back sends another request.
+func (c *Core) firstReturn(r *Request, ns int64) (wait time.Duration, rest, free bool) {
+	wait = waitForever
+	for _, p := range c.state.Load().poolsOf(r.service) {
 		if !allowsRegion(r.Route.Regions, p.row.Region) {
 			continue
 		}
 		for _, m := range p.local {
-			if !m.open(ns) || m.down.Load() || r.Excluded(m.name) || m.rest.allows(ns, m.inFlight.Load()) {
-				continue
+			switch {
+			case !m.open(ns) || m.down.Load():
+			case m.rest.allows(ns, m.inFlight.Load()):
+				free = true
+			default:
+				rest = true
+				wait = min(wait, time.Duration(max(0, m.rest.until.Load()-ns)))
 			}
-			first, found = min(first, time.Duration(max(0, m.rest.until.Load()-ns))), true
 		}
 	}
-	return first, found
+	return wait, rest, free
 }
--- a/pkg/decision/steer/slot.go
+++ b/pkg/decision/steer/slot.go
@@ -25,10 +25,12 @@
 	leavingAt   atomic.Int64
 	incarnation atomic.Pointer[string]
 
-	// The rest serves direct dispatch. hash ranks the target.
-	hash uint64
-	load load
-	pace pace
+	// The rest serves direct dispatch. hash ranks the target, and serial tells the
+	// slot from those of other targets and incarnations.
+	hash   uint64
+	serial uint64
+	load   load
+	pace   pace
 	// down is set from a refused connection until a probe is answered.
 	down atomic.Bool
 	// coldTo ends the time in which the target's caches are cold, and coldAt
@@ -38,7 +40,9 @@
 }
 
 // newSlot returns the slot of a target that nothing is known of.
-func newSlot(name string) *slot { return &slot{name: name, hash: hashOf(name)} }
+func (c *Core) newSlot(name string) *slot {
+	return &slot{name: name, hash: hashOf(name), serial: c.slotsMade.Add(1)}
+}
 
 // member is a target's row in the tables in force.
 type member struct {
--- a/pkg/decision/steer/state.go
+++ b/pkg/decision/steer/state.go
@@ -90,7 +90,7 @@
 			m.slot = old.slots[tg.Name]
 		}
 		if m.slot == nil || m.slot.replacedBy(&tg) {
-			m.slot = newSlot(tg.Name)
+			m.slot = c.newSlot(tg.Name)
 		}
 		m.slot.discovered(c, &tg)
 		m.coldRate = row.ColdRate
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -79,7 +79,7 @@
 func (x *exchange) lastRefusal(err error) caller.Refusal {
 	f := caller.RefusalOf(err)
 	if f.Kind == fault.KindTargetShed {
-		if after, ok := x.node.core.ComeBack(x.last, x.load); ok {
+		if after, ok := x.node.core.ComeBack(x.node.now(), &x.req, x.last, x.load); ok {
 			f.RetryAfter = after
 		}
 	}
