Read, log and count the rate limits that targets announce

Nothing told whether an instance had read a limit (hypothesis 1), kept it for itself (2) or passed it by (3). The adapter's dialect now names the header field, the target client parses it, and the core stores it without acting on it. A log line marks each change of a limit, the request line carries the limit that was known at the dispatch, and counters count notices and dispatches under a limit.

No decision changes: the requests still go where they went.

--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -347,6 +347,6 @@
 func (t *target) diagnostics(now int64, wait, maxWait time.Duration) Diagnostics {
 	return Diagnostics{
 		Target: t.row.Name, ExpectedWait: wait, MaxWait: maxWait, InFlight: int(t.inFlight.Load()),
-		OthersInFlight: t.otherLoad.value(now), LoadAge: time.Duration(now - t.otherLoad.at.Load()),
+		OthersInFlight: t.otherLoad.value(now), LoadAge: time.Duration(now - t.otherLoad.at.Load()), RateLimit: t.rateLimit.Load(),
 	}
 }
--- a/pkg/decision/steer/target.go
+++ b/pkg/decision/steer/target.go
@@ -21,6 +21,9 @@
 	// request.
 	pausedUntil atomic.Int64
 	backoff     backoff
+	// rateLimit is the limit in requests per second that the target has announced for
+	// all instances together, or nil.
+	rateLimit atomic.Pointer[float64]
 
 	// leaving is set by a notice or a load report that the target has sent to this
 	// instance. peerReport is set while a peer's report of a notice excludes the target.
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -162,6 +162,9 @@
 	InFlight       int
 	OthersInFlight float64
 	LoadAge        time.Duration
+	// RateLimit is the rate limit that the target has announced, in requests per
+	// second, or nil.
+	RateLimit *float64
 }
 
 // Wakeup is the final decision on a queued request.
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -94,6 +94,9 @@
 		return fault.New(fault.KindTargetRefused, "target %s is not among the current targets of this instance", a.decision.Target)
 	}
 	req := &a.x.req
+	if _, limited := a.decision.RateLimit(); limited && a.x.node.metrics != nil {
+		a.x.node.metrics.CountRateLimitedRequest()
+	}
 	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !req.Idempotent, Withdrawn: a.decision.TargetLeaving}
 	resp, err := c.Send(a.ctx, a.httpReq, a.x.body, req.Deadline, options)
 	if resp != nil {
--- a/pkg/node/targetnotice.go
+++ b/pkg/node/targetnotice.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/target"
 )
@@ -12,11 +13,16 @@
 	noticeLeaving    = "leaving"
 	noticeRetryAfter = "retry-after"
 	noticeMalformed  = "malformed-retry-after"
+	// A target has announced a rate limit or changed it, has ended it, or has sent one
+	// that is not a number.
+	noticeRateLimit          = "rate-limit"
+	noticeRateLimitEnded     = "rate-limit-ended"
+	noticeMalformedRateLimit = "malformed-rate-limit"
 )
 
 // handleNotice passes the notice that the target of d sent with its response to
 // the decision core. It counts and logs what is new to the core, and every
-// malformed Retry-After header field.
+// malformed header field.
 func (x *exchange) handleNotice(d steer.Decision, notice target.Notice) {
 	n := x.node
 	isNew := n.core.ObserveNotice(n.now(), d, steer.Notice{Leaving: notice.Leaving, RetryAfter: notice.RetryAfter})
@@ -29,6 +35,23 @@
 	if notice.MalformedRetryAfter != "" {
 		n.reportNotice(noticeMalformed, x.id, d.Target, zap.String("retry_after_text", notice.MalformedRetryAfter))
 	}
+	x.handleRateLimit(d, notice)
+}
+
+// handleRateLimit is handleNotice for the rate limit.
+func (x *exchange) handleRateLimit(d steer.Decision, notice target.Notice) {
+	n := x.node
+	if notice.MalformedRateLimit != "" {
+		n.reportNotice(noticeMalformedRateLimit, x.id, d.Target, zap.String("rate_limit_text", notice.MalformedRateLimit))
+	}
+	if !n.core.ObserveRateLimit(n.now(), d, notice.RateLimit) {
+		return
+	}
+	if notice.RateLimit.State == ratelimit.Limited {
+		n.reportNotice(noticeRateLimit, x.id, d.Target, zap.Float64("rate_limit", notice.RateLimit.PerSecond))
+	} else {
+		n.reportNotice(noticeRateLimitEnded, x.id, d.Target)
+	}
 }
 
 // logLeavingReports logs the targets that have begun to count as leaving because of
--- a/pkg/peer/target/notice.go
+++ b/pkg/peer/target/notice.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
@@ -22,12 +23,18 @@
 	// MalformedRetryAfter is the text of a Retry-After header field that is not a
 	// number of seconds. Such a field is otherwise ignored.
 	MalformedRetryAfter string
+	// RateLimit is the rate limit that the response announces. Its state is unknown if
+	// the header field is malformed, or has no meaning on the platform.
+	RateLimit ratelimit.Notice
+	// MalformedRateLimit is the text of a malformed rate limit.
+	MalformedRateLimit string
 }
 
 // parseNotice returns the notice in the header of a response from the target.
 // Retry-After is read only from 503 responses.
 func (c *Client) parseNotice(status int, h http.Header) Notice {
 	n := Notice{Leaving: parseLeaving(h, &c.dialect)}
+	n.RateLimit, n.MalformedRateLimit = parseRateLimit(h, &c.dialect)
 	text := h.Get("Retry-After")
 	if status != http.StatusServiceUnavailable || text == "" {
 		return n
@@ -50,6 +57,20 @@
 	return err == nil && leaving
 }
 
+// parseRateLimit returns the rate limit that a response header announces, or the text
+// of a malformed one.
+func parseRateLimit(h http.Header, d *wire.Dialect) (n ratelimit.Notice, malformed string) {
+	if d.RateLimit == "" {
+		return ratelimit.Notice{}, ""
+	}
+	text := h.Get(d.RateLimit)
+	n, ok := ratelimit.Parse(text)
+	if !ok {
+		return n, text
+	}
+	return n, ""
+}
+
 // parseRetryAfter parses a number of seconds, which may have a fraction. It returns
 // false for a negative number and for anything else, such as a date.
 func parseRetryAfter(text string) (time.Duration, bool) {
--- a/pkg/peer/target/notice_test.go
+++ b/pkg/peer/target/notice_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
@@ -15,6 +16,7 @@
 // noticeDialect has the header fields that identify the origin of a response.
 var noticeDialect = wire.Dialect{
 	RequestID: "Id", DeadlineMS: "Deadline", ExpectTarget: "Wanted", NotRun: "Not-Run", ResponseStamp: "Stamp", EchoesRequestID: true, Leaving: "Leaving",
+	RateLimit: "Limit",
 }
 
 // receiveNotice returns the notice that a client reads from a response with the given
@@ -76,6 +78,7 @@
 }
 
 func TestRetryAfterIsCapped(t *testing.T) {
+	unlimited := ratelimit.Notice{State: ratelimit.Unlimited}
 	for text, want := range map[string]Notice{
 		"":                              {},
 		"2":                             {RetryAfter: 2 * time.Second},
@@ -89,15 +92,38 @@
 		"1e300":                         {RetryAfter: DefaultMaxRetryAfter},
 	} {
 		fields := map[string]string{"Id": "7", "Not-Run": "1", "Retry-After": text}
+		want.RateLimit = unlimited
 		if got := receiveNotice(t, http.StatusServiceUnavailable, fields); got != want {
 			t.Errorf("%q: %+v, want %+v", text, got, want)
 		}
 	}
 	fields := map[string]string{"Id": "7", "Stamp": "s", "Retry-After": "2"}
-	if got := receiveNotice(t, http.StatusOK, fields); got != (Notice{}) {
+	if got := receiveNotice(t, http.StatusOK, fields); got != (Notice{RateLimit: unlimited}) {
 		t.Errorf("on a success: %+v", got)
 	}
 	if got := receiveNotice(t, http.StatusServiceUnavailable, map[string]string{"Id": "7", "Retry-After": "2"}); got.RetryAfter != 2*time.Second {
 		t.Errorf("on a failure of the target: %+v", got)
 	}
 }
+
+func TestRateLimitIsReadFromEachResponseOfTarget(t *testing.T) {
+	limited := ratelimit.Notice{State: ratelimit.Limited, PerSecond: 2.5}
+	for name, c := range map[string]struct {
+		status int
+		fields map[string]string
+		want   Notice
+	}{
+		"success":               {200, map[string]string{"Id": "7", "Stamp": "s", "Limit": "2.5"}, Notice{RateLimit: limited}},
+		"failure of the target": {500, map[string]string{"Id": "7", "Limit": "2.5"}, Notice{RateLimit: limited}},
+		"refusal":               {503, map[string]string{"Id": "7", "Not-Run": "1", "Limit": "2.5"}, Notice{RateLimit: limited}},
+		"no limit":              {200, map[string]string{"Id": "7", "Stamp": "s"}, Notice{RateLimit: ratelimit.Notice{State: ratelimit.Unlimited}}},
+		"malformed":             {200, map[string]string{"Id": "7", "Stamp": "s", "Limit": "few"}, Notice{MalformedRateLimit: "few"}},
+		"id of another request": {200, map[string]string{"Id": "8", "Stamp": "s", "Limit": "2.5"}, Notice{}},
+		"no stamp":              {200, map[string]string{"Id": "7", "Limit": "2.5"}, Notice{}},
+		"another target":        {421, map[string]string{"Limit": "2.5"}, Notice{Leaving: true}},
+	} {
+		if got := receiveNotice(t, c.status, c.fields); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
--- a/pkg/standin/target/backoff.go
+++ b/pkg/standin/target/backoff.go
@@ -14,6 +14,15 @@
 	t.backoffUntil = time.Now().Add(d)
 }
 
+// SetRateLimit makes the target announce with its responses that it accepts perSecond
+// requests a second from all instances together. It does not enforce the limit. A negative
+// value ends the announcement, and so does a new start.
+func (t *Target) SetRateLimit(perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rateLimit = perSecond
+}
+
 // setRetryAfter sets Retry-After to the remaining time of the backoff, rounded up to
 // whole seconds. It reports false, without setting it, if the target is not in backoff.
 func (t *Target) setRetryAfter(w http.ResponseWriter) bool {
--- a/pkg/standin/target/control.go
+++ b/pkg/standin/target/control.go
@@ -32,6 +32,9 @@
 	// PathBackoff makes one target refuse requests with Retry-After on POST, for the
 	// time in the body.
 	PathBackoff = "/control/targets/:name/backoff"
+	// PathRateLimit makes one target announce a rate limit on PUT, and no longer on
+	// DELETE.
+	PathRateLimit = "/control/targets/:name/rate-limit"
 )
 
 // ControlHandler returns a handler that serves the control endpoints of the targets
@@ -53,6 +56,8 @@
 	r.POST(PathStart, c.withTarget(c.start))
 	r.POST(PathLeave, c.withTarget(c.leave))
 	r.POST(PathBackoff, c.withTarget(c.backOff))
+	r.PUT(PathRateLimit, c.withTarget(c.putRateLimit))
+	r.DELETE(PathRateLimit, c.withTarget(c.deleteRateLimit))
 	return r
 }
 
@@ -147,3 +152,26 @@
 	t.StartBackoff(b.For.Std())
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// rateLimitRequest is the body of a request to PathRateLimit.
+type rateLimitRequest struct {
+	PerSecond float64 `json:"per_second"`
+}
+
+func (controlHandler) putRateLimit(w http.ResponseWriter, r *http.Request, t *Target) {
+	var q rateLimitRequest
+	if !decodeBody(w, r, &q) {
+		return
+	}
+	if q.PerSecond < 0 {
+		http.Error(w, "per_second must be 0 or more", http.StatusBadRequest)
+		return
+	}
+	t.SetRateLimit(q.PerSecond)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (controlHandler) deleteRateLimit(w http.ResponseWriter, _ *http.Request, t *Target) {
+	t.SetRateLimit(noRateLimit)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/pkg/standin/target/control_test.go
+++ b/pkg/standin/target/control_test.go
@@ -44,6 +44,10 @@
 		{"POST", "/control/targets/a/backoff", `{"for":"1h"}`, http.StatusNoContent},
 		{"POST", "/control/targets/a/backoff", `{"for":"0s"}`, http.StatusBadRequest},
 		{"POST", "/control/targets/a/backoff", `{"until":"1h"}`, http.StatusBadRequest},
+		{"PUT", "/control/targets/a/rate-limit", `{"per_second":2.5}`, http.StatusNoContent},
+		{"PUT", "/control/targets/a/rate-limit", `{"per_second":-1}`, http.StatusBadRequest},
+		{"PUT", "/control/targets/b/rate-limit", `{"per_second":2.5}`, http.StatusNoContent},
+		{"DELETE", "/control/targets/b/rate-limit", "", http.StatusNoContent},
 		{"GET", PathTargets, "", http.StatusOK},
 		{"GET", PathRuns, "", http.StatusOK},
 	}
--- a/pkg/standin/target/notice_test.go
+++ b/pkg/standin/target/notice_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+func TestEveryResponseCarriesTheRateLimitUntilItEnds(t *testing.T) {
+	f := newFixture(t, Config{})
+	for limit, want := range map[float64]string{2.5: "2.5", 0: "0", noRateLimit: ""} {
+		f.target.SetRateLimit(limit)
+		for _, faults := range []Faults{{}, {Shed: true}} {
+			f.target.SetFaults(faults)
+			if _, header, err := f.send(t.Context(), f.nextRequest(), nil); err != nil || header.Get(wire.HeaderTargetRateLimit) != want {
+				t.Errorf("limit %v, faults %+v: header %v, %v", limit, faults, header, err)
+			}
+		}
+	}
+}
+
 func TestRequestInFlightWhenTheTargetLeavesReceivesTheNotice(t *testing.T) {
 	f := newFixture(t, Config{ServiceTime: table.Duration(200 * time.Millisecond)})
 	var wg conc.WaitGroup
--- a/pkg/standin/target/report.go
+++ b/pkg/standin/target/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/standin"
@@ -22,6 +23,14 @@
 	return t.stats.Leaving && !t.faults.HideLeaving
 }
 
+// announcedRateLimit returns the rate limit that the target announces, in requests per
+// second. It is negative without one.
+func (t *Target) announcedRateLimit() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rateLimit
+}
+
 // serveHealth responds with status 200 if the target reports itself as healthy,
 // otherwise 503.
 func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
@@ -81,11 +90,14 @@
 	}
 }
 
-// setTargetHeaders sets the target's name and its leaving notice, which all
+// setTargetHeaders sets the target's name, its leaving notice and its rate limit, which all
 // responses carry.
 func (t *Target) setTargetHeaders(w http.ResponseWriter) {
 	w.Header().Set(wire.HeaderTarget, t.config.Name)
 	if t.announcesLeaving() {
 		w.Header().Set(wire.HeaderTargetLeaving, "true")
 	}
+	if limit := t.announcedRateLimit(); limit >= 0 {
+		w.Header().Set(wire.HeaderTargetRateLimit, strconv.FormatFloat(limit, 'g', -1, 64))
+	}
 }
--- a/pkg/standin/target/server.go
+++ b/pkg/standin/target/server.go
@@ -45,6 +45,7 @@
 	t.incarnation = newIncarnation()
 	t.stats.Leaving = false
 	t.backoffUntil = time.Time{}
+	t.rateLimit = noRateLimit
 	t.report = cachedReport{}
 	t.startProcess(ln)
 	return t.config.Address, nil
--- a/pkg/standin/target/target.go
+++ b/pkg/standin/target/target.go
@@ -29,7 +29,9 @@
 	leavingAt   time.Time
 	// backoffUntil is the time until which the target refuses requests.
 	backoffUntil time.Time
-	closed       bool
+	// rateLimit is the announced limit in requests per second; negative without one.
+	rateLimit float64
+	closed    bool
 }
 
 // Stats holds the counters of a target, over all its processes.
@@ -67,7 +69,7 @@
 // its runs in rec.
 func New(c Config, rec *Recorder) *Target {
 	c = c.withDefaults()
-	return &Target{config: c, recorder: rec, faults: c.Faults, stats: Stats{Name: c.Name}}
+	return &Target{config: c, recorder: rec, faults: c.Faults, stats: Stats{Name: c.Name}, rateLimit: noRateLimit}
 }
 
 // Faults returns the faults that are switched on.
@@ -98,6 +100,9 @@
 	return t.config.Address
 }
 
+// noRateLimit is the value of Target.rateLimit without a limit.
+const noRateLimit = -1
+
 // newIncarnation returns a unique id for one process of a target.
 func newIncarnation() string { return uuid.NewString() }
 
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -134,10 +134,14 @@
 }
 
 // CountTargetNotice counts a notice that a target has sent with a response: that it
-// is leaving, that it requests a backoff, or a Retry-After value that is malformed.
+// is leaving, that it requests a backoff, that its rate limit has changed or ended, or a
+// value that is malformed.
 func (m *Metrics) CountTargetNotice(kind string) {
 	m.scope.Tagged(map[string]string{"notice": kind}).Counter("target_notices").Inc(1)
 }
 
+// CountRateLimitedRequest counts an attempt at a target that has announced a rate limit.
+func (m *Metrics) CountRateLimitedRequest() { m.scope.Counter("rate_limited_requests").Inc(1) }
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -19,6 +19,10 @@
 	NotRun string
 	// Leaving is "true" or "1" on responses of a target that is leaving.
 	Leaving string
+	// RateLimit is set on the responses of a target that limits its load. It holds
+	// the number of requests per second, a decimal number, that the target accepts
+	// from all instances together.
+	RateLimit string
 	// Load holds a target's counts of running requests, waiting requests and
 	// slots.
 	Load string
@@ -52,6 +56,7 @@
 		DeadlineMS:       HeaderDeadlineMS,
 		NotRun:           HeaderTargetShed,
 		Leaving:          HeaderTargetLeaving,
+		RateLimit:        HeaderTargetRateLimit,
 		RespondingTarget: HeaderTarget,
 	}
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -46,6 +46,10 @@
 	HeaderTargetShed = "Jacinthramp-Target-Shed"
 	// HeaderTargetLeaving is "true" on responses of a target that is leaving.
 	HeaderTargetLeaving = "Jacinthramp-Target-Leaving"
+	// HeaderTargetRateLimit is set on the responses of a target that limits its load.
+	// It holds the number of requests per second, a decimal number, that the target
+	// accepts from all instances together.
+	HeaderTargetRateLimit = "Jacinthramp-Target-Rate-Limit"
 )
 
 // Paths served to callers.
