Let the soak's servers announce rate limits, and check them from what they get

One server a run now announces a limit from the start on, under all other faults; what it gets from the instances that it has told is checked as the users' rule words it, with restarts and freezes excused, and it must get more again after the end. Synthetic runs show that the check fails for instances that each keep the limit for themselves.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -52,6 +52,8 @@
 	proxy      *proxy
 	zone       string
 	sequence   int
+	// draining is set once its entry says so.
+	draining bool
 }
 
 // deployment is a complete deployment on loopback: a store, servers and instances.
@@ -67,7 +69,11 @@
 	backends    []*backend
 	// leaving holds the indices of the backends that announce that they are leaving.
 	leaving map[int]bool
-	version int
+	// rateLimited is the server that announces a rate limit, rateLimit the limit in
+	// requests per second.
+	rateLimited *standin.Server
+	rateLimit   float64
+	version     int
 }
 
 // newDeployment starts a deployment that writes its logs to dir, and waits until
@@ -123,6 +129,7 @@
 // register writes a server's entry with the given state to the store.
 func (dep *deployment) register(b *backend, state string) {
 	b.sequence++
+	b.draining = state == "draining"
 	dep.store.Put("servers", b.server.ID, map[string]any{
 		"Service": service, "Address": b.proxy.address(), "Zone": b.zone, "Version": "v1", "Slots": 8, "State": state,
 		"ColdRemainingS": 0, "Sequence": b.sequence, "born": 1,
--- a/test/soak/notices_checks_test.go
+++ b/test/soak/notices_checks_test.go
@@ -126,3 +126,50 @@
 		}
 	}
 }
+
+// rateLimitRun returns a run in which i-0 announces a limit of 1 per second in responses
+// to each instance at 0, and perSecond requests a second of each instance reach it for
+// 8 s from 4 s on.
+func rateLimitRun(instances int, perSecond float64) *syntheticRun {
+	m := &syntheticRun{requests: map[string]callerRecord{}}
+	for i := range instances {
+		instance := fmt.Sprintf("front-%d", i)
+		told := requestID("told", instance)
+		m.exchanges = append(m.exchanges, standin.Exchange{Server: "i-0", ID: told, Arrived: at(-10), Responded: at(0), RateLimit: "1"})
+		m.requests[told] = callerRecord{sent: at(-20), received: at(5), server: "i-0"}
+		for n := range int(8 * perSecond) {
+			ms := 4000 + int(1000*float64(n)/perSecond)
+			m.exchanges = append(m.exchanges, standin.Exchange{Server: "i-0", ID: requestID(fmt.Sprint(n), instance), Arrived: at(ms), Responded: at(ms), RateLimit: "1"})
+		}
+	}
+	return m
+}
+
+func TestCheckReportsRequestsAboveTheRateLimit(t *testing.T) {
+	withoutNotice := func(m *syntheticRun) {
+		for id, q := range m.requests {
+			q.received = time.Time{}
+			m.requests[id] = q
+		}
+	}
+	for name, c := range map[string]struct {
+		run      *syntheticRun
+		reported bool
+	}{
+		"one instance within the limit":       {rateLimitRun(1, 2.5), false},
+		"one instance above the limit":        {rateLimitRun(1, 3), true},
+		"each instance within the limit":      {rateLimitRun(5, 1), true},
+		"all instances within the limit":      {rateLimitRun(5, 0.5), false},
+		"callers received no announcement":    {rateLimitRun(5, 1).with(withoutNotice), false},
+		"frozen since":                        {rateLimitRun(1, 3).withFault("front-0", freeze, 100, 3900), false},
+		"restarted since":                     {rateLimitRun(1, 3).withFault("front-0", restart, 100, 3900), false},
+		"restarted before":                    {rateLimitRun(1, 3).withFault("front-0", restart, -200, -100), true},
+		"network fault of the server":         {rateLimitRun(1, 3).withFault("i-0", networkFault, 4000, 12000), false},
+		"network fault of another server":     {rateLimitRun(1, 3).withFault("i-1", networkFault, 4000, 12000), true},
+		"restart of one of several instances": {rateLimitRun(5, 1).withFault("front-0", restart, 100, 3900), true},
+	} {
+		if got := c.run.history().requestsAboveRateLimit("i-0", 1); (len(got) == 1) != c.reported {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
--- a/test/soak/targetfaults_test.go
+++ b/test/soak/targetfaults_test.go
@@ -74,6 +74,16 @@
 	return dep.backends[i%len(dep.backends)]
 }
 
+// receivesNothing reports whether the server is leaving or has been drained.
+func (dep *deployment) receivesNothing(server *standin.Server) bool {
+	for i, b := range dep.backends {
+		if b.server == server {
+			return dep.leaving[i] || b.draining
+		}
+	}
+	return true
+}
+
 // openEndlessResponses returns the number of endless responses that are being sent.
 func (dep *deployment) openEndlessResponses() int {
 	n := 0
