--- a/pkg/decision/steer/ratelimit_replay_test.go
+++ b/pkg/decision/steer/ratelimit_replay_test.go
@@ -317,8 +317,10 @@
 		for _, limit := range []float64{0.3, 2, 10} {
 			r := newLimitReplay(instances, 4, limitFrom(limitedTarget1, time.Second, limit))
 			r.run(0, 30*time.Second, max(200, 6*float64(instances)))
-			if got := r.arrivalRate(limitedTarget1, 8*time.Second, 30*time.Second); got < limit/2 || got > limitExcess*limit {
-				t.Errorf("%d instances: the target gets %.2f requests a second at a limit of %v", instances, got, limit)
+			got := r.arrivalRate(limitedTarget1, 8*time.Second, 30*time.Second)
+			t.Logf("%d instances: the target gets %.2f requests a second at a limit of %v", instances, got, limit)
+			if got < limit/2 || got > limitExcess*limit {
+				t.Errorf("want at least half of the limit and at most %v times it", limitExcess)
 			}
 		}
 	}
