--- a/pkg/cluster/ratelimits_test.go
+++ b/pkg/cluster/ratelimits_test.go
@@ -1,12 +1,15 @@
 package cluster
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
@@ -200,3 +203,30 @@
 		waitFor(t, settleTime, "complete members", func() bool { list, complete := late.Members(); return complete && len(list) == len(tc.nodes) })
 	})
 }
+
+// TestControlTrafficWithinBudgetWhileTargetsLimitTheirRequests lets all targets announce
+// limits, of which each instance has heard from some lately.
+func TestControlTrafficWithinBudgetWhileTargetsLimitTheirRequests(t *testing.T) {
+	const targets = 100
+	runWithFeeds(t, regionSize, func(t *testing.T, tc *testCluster, r *fakeFeedStore) {
+		addTargets(t, tc, r, targets)
+		cores := attachMembers(tc)
+		ctx, stop := context.WithCancel(t.Context())
+		var wg conc.WaitGroup
+		defer wg.Wait()
+		defer stop()
+		wg.Go(func() {
+			for k := 0; sleep(ctx, 50*time.Millisecond, nil); k++ {
+				c := cores[k%len(cores)]
+				d := c.Decide(time.Now(), &steer.Request{Route: &c.Tables().Routes[0], Arrived: time.Now(), Deadline: time.Now().Add(time.Second)})
+				c.ObserveRateLimit(time.Now(), d, ratelimit.Notice{State: ratelimit.Limited, PerSecond: 2 + float64(k%3)})
+				c.Done(time.Now(), d, steer.Result{Kind: fault.KindCallerGone})
+			}
+		})
+		mean, busiest := measureControlTraffic(tc)
+		t.Logf("mean %.2f kB/s, busiest %.2f kB/s", mean/1000, busiest/1000)
+		if mean > controlBudget {
+			t.Errorf("instances send and receive %.0f bytes per second each, more than the budget", mean)
+		}
+	})
+}
--- a/pkg/peer/target/notice.go
+++ b/pkg/peer/target/notice.go
@@ -34,7 +34,7 @@
 // Retry-After is read only from 503 responses.
 func (c *Client) parseNotice(status int, h http.Header) Notice {
 	n := Notice{Leaving: parseLeaving(h, &c.dialect)}
-	n.RateLimit, n.MalformedRateLimit = parseRateLimit(h, &c.dialect)
+	n.RateLimit, n.MalformedRateLimit = parseRateLimit(status, h, &c.dialect)
 	text := h.Get("Retry-After")
 	if status != http.StatusServiceUnavailable || text == "" {
 		return n
@@ -58,12 +58,13 @@
 }
 
 // parseRateLimit returns the rate limit that a response header announces, or the text
-// of a malformed one.
-func parseRateLimit(h http.Header, d *wire.Dialect) (n ratelimit.Notice, malformed string) {
-	if d.RateLimit == "" {
+// of a malformed one. Only a success shows that there is no limit: other responses may
+// come from something between the instance and the target.
+func parseRateLimit(status int, h http.Header, d *wire.Dialect) (n ratelimit.Notice, malformed string) {
+	text := h.Get(d.RateLimit)
+	if d.RateLimit == "" || text == "" && status >= http.StatusMultipleChoices {
 		return ratelimit.Notice{}, ""
 	}
-	text := h.Get(d.RateLimit)
 	n, ok := ratelimit.Parse(text)
 	if !ok {
 		return n, text
