Repeat a heartbeat that a watcher or relay has not answered

Cause: a member to which every heartbeat is sent is suspected after three seconds without a reply, and heartbeats are a second apart. Two lost ones in a row leave the third no time to be answered. A second try within the heartbeat had been rejected, since the next heartbeats then came later.

Change: a loop of its own repeats the last heartbeat every 0.4 s to members that must reply and have not; no heartbeat waits for it, and the timeouts stay as they are.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -64,7 +64,8 @@
 	zoneReports         *zoneReports
 	step                *tablestore.Step // that led to the tables in force, or nil
 	lastReplyAt         time.Time        // of the last reply to a heartbeat
-	promisesRequestedAt time.Time        // of the last request for promises
+	lastHeartbeat       *instance.HeartbeatRequest
+	promisesRequestedAt time.Time // of the last request for promises
 	leaving             bool
 	registered          bool // set once the platform has listed this instance
 	listRead            bool // set once the platform's list of instances has been read
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -85,7 +85,7 @@
 // discoveryLoops returns the loops that read the feeds and exchange entries
 // with other instances.
 func (c *Cluster) discoveryLoops() []func(context.Context) {
-	loops := []func(context.Context){c.catalogLoop, c.catalogFetchLoop, c.entriesAnnounceLoop}
+	loops := []func(context.Context){c.catalogLoop, c.catalogFetchLoop, c.entriesAnnounceLoop, c.retryLoop}
 	for _, f := range c.cfg.Feeds {
 		loops = append(loops, func(ctx context.Context) { c.feedLoop(ctx, f) })
 	}
--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// retryInterval is the pause between two rounds of retryLoop.
+const retryInterval = 400 * time.Millisecond
+
+// retryLoop repeats the last heartbeat to the members that must reply and have not. A
+// member is suspected after three intervals without a reply, in which two lost messages
+// leave no time for a third one.
+func (c *Cluster) retryLoop(ctx context.Context) {
+	for sleep(ctx, retryInterval, nil) {
+		c.mu.Lock()
+		q, to := c.lastHeartbeat, c.view.ExpectedFailing()
+		c.mu.Unlock()
+		var wg conc.WaitGroup
+		for _, m := range to {
+			wg.Go(func() {
+				callCtx, cancel := context.WithTimeout(ctx, c.timing.CallTimeout/2)
+				defer cancel()
+				c.sendHeartbeatTo(callCtx, q, m, false)
+			})
+		}
+		wg.Wait()
+	}
+}
+
 // sendHeartbeatToAll sends q to all members at once and returns their
 // replies in the same order, nil where there was none. A verdict that a watcher
 // has made itself is applied at once, without waiting for members that may have
@@ -170,6 +193,7 @@
 		LeavingTargets: c.leavingTargets(now, departure.Request, nil), RateLimits: c.rateLimits(now, nil),
 	}
 	c.zoneReports.observeLocal(now, c.self.ID, q.Summaries)
+	c.lastHeartbeat = q
 	return q, c.receivers(now, tree)
 }
 
--- a/pkg/decision/member/relay.go
+++ b/pkg/decision/member/relay.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -128,6 +129,19 @@
 	}
 }
 
+// ExpectedFailing returns the members that are sent every heartbeat and did not reply to
+// the last one, sorted by id.
+func (v *View) ExpectedFailing() []Info {
+	var failing []Info
+	for id, e := range v.entries {
+		if !e.replyExpectedSince.IsZero() && v.Failing(id) {
+			failing = append(failing, e.info)
+		}
+	}
+	slices.SortFunc(failing, func(a, b Info) int { return cmp.Compare(a.ID, b.ID) })
+	return failing
+}
+
 // unresponsiveOrAbsent reports whether this instance has received no message from e
 // for SuspectAfter although it sent e every heartbeat, or while the watchers report
 // e as suspected.
