Take nothing back when the platform's store returns from an older copy

Today nothing read the header: a feed that went on from its last version missed what the store gave out again below it, a drained target and an ended evacuation came back with the copy, and instances that the copy lacked were named to nobody until they looked at the list, up to 30 s later.

Change: the catalog's versions hold the store's generation above its version, so that it orders first wherever two are compared. A pure decision in pkg/catalog says what is kept against the copy, and for how long: a configuration with a higher number, an evacuation or its end, a target's later state by its start and count of writes. Instances write their entries again, spread below the store's rate, and members that the list lacks are kept until then; incarnations that had ended are ignored and removed again.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -29,8 +29,18 @@
 	Entry
 	// coldUntil is when the target is no longer cold.
 	coldUntil time.Time
-	// removeAt is when a deferred removal takes effect; zero without one.
-	removeAt time.Time
+	// deferred takes the place of the entry at deferredUntil; nil without one.
+	deferred      *Entry
+	deferredUntil time.Time
+	// lastTarget is the latest registration of the target, also once it is removed, and
+	// lastPut the version in the store of the last entry that was not removed.
+	lastTarget *Target
+	lastPut    uint64
+}
+
+// deferTo makes e take the place of the entry at the given time.
+func (s *storedEntry) deferTo(e Entry, at time.Time) {
+	s.deferred, s.deferredUntil = &e, at
 }
 
 // at returns the entry with the ColdRemaining that remains at now.
@@ -51,8 +61,11 @@
 	position Position
 	// deferUntil is, for each topic, when removals are no longer deferred.
 	deferUntil [TopicCount]time.Time
+	// snapshotVersion is, for each topic, the version of the last snapshot.
+	snapshotVersion Position
 	// changed is set when the entries have changed since the last call of Assemble.
 	changed bool
+	kept    Kept
 }
 
 // New returns an empty catalog.
@@ -94,10 +107,15 @@
 
 // Replace applies a snapshot of the topic t: all its entries as of version.
 // Entries that the snapshot lacks are removed. A snapshot older than the catalog's
-// position is ignored.
-func (c *Catalog) Replace(now time.Time, t Topic, entries []Entry, version uint64) {
+// position is ignored. It reports whether the snapshot is of a later generation of the
+// store than what was known.
+func (c *Catalog) Replace(now time.Time, t Topic, entries []Entry, version uint64) (restored bool) {
 	if version < c.position[t] {
-		return
+		return false
+	}
+	restored = c.position[t] > 0 && GenerationOf(version) > GenerationOf(c.position[t])
+	if restored {
+		c.StoreRecovered(now, t)
 	}
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -109,30 +127,31 @@
 		}
 	}
 	c.Merge(now, t, entries, version)
+	c.snapshotVersion[t] = version
+	return restored
 }
 
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
-// just recovered. An entry of an earlier incarnation only raises the version.
+// just recovered. An entry of an earlier incarnation, or one that only an older copy of
+// the store contains, only raises the version.
 func (c *Catalog) apply(now time.Time, e *Entry) {
 	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
-	if old != nil && e.Version <= old.Version {
+	switch {
+	case old == nil && e.Version < c.snapshotVersion[e.Topic]:
+		// The snapshot lacks the key: e is a late response of before.
+		return
+	case old != nil && e.Version <= old.Version:
+		return
+	case old != nil && !c.replaces(now, old, e):
+		old.Version = e.Version
 		return
 	}
-	if old != nil && old.Target != nil {
-		if delay := max(e.RemovalDelay, c.deferUntil[e.Topic].Sub(now)); e.Removed && delay > 0 {
-			old.Version = e.Version
-			old.removeAt = now.Add(delay)
-			return
-		}
-		if e.Target != nil && e.Target.StartMillis != 0 && e.Target.StartMillis < old.Target.StartMillis {
-			// A delayed entry of an earlier incarnation of the target.
-			old.Version = e.Version
-			return
-		}
+	stored := &storedEntry{Entry: *e, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
+	if e.Removed && old != nil {
+		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
-	stored := &storedEntry{Entry: *e}
 	if e.Target != nil && e.Target.ColdRemaining > 0 {
 		stored.coldUntil = now.Add(e.Target.ColdRemaining)
 	}
@@ -140,15 +159,32 @@
 	c.changed = true
 }
 
-// ApplyDeferredRemovals applies the deferred removals that are due at now.
-func (c *Catalog) ApplyDeferredRemovals(now time.Time) {
+// replaces reports whether e, which has a higher version, takes the place of old now.
+func (c *Catalog) replaces(now time.Time, old *storedEntry, e *Entry) bool {
+	if GenerationOf(e.Version) > GenerationOf(old.Version) && c.reconcile(now, old, e) {
+		return false
+	}
+	if old.Target == nil {
+		return true
+	}
+	if delay := max(e.RemovalDelay, c.deferUntil[e.Topic].Sub(now)); e.Removed && delay > 0 {
+		old.deferTo(*e, now.Add(delay))
+		return false
+	}
+	// False for a delayed entry of an earlier incarnation of the target.
+	return e.Target == nil || e.Target.StartMillis == 0 || e.Target.StartMillis >= old.Target.StartMillis
+}
+
+// ApplyDeferred applies the deferred entries that are due at now.
+func (c *Catalog) ApplyDeferred(now time.Time) {
 	for t := range c.entries {
 		for _, stored := range c.entries[t] {
-			if stored.removeAt.IsZero() || now.Before(stored.removeAt) {
+			if stored.deferred == nil || now.Before(stored.deferredUntil) {
 				continue
 			}
-			stored.Entry = Entry{Topic: stored.Topic, Key: stored.Key, Version: stored.Version, Removed: true}
-			stored.removeAt = time.Time{}
+			version := stored.Version
+			stored.Entry, stored.deferred = *stored.deferred, nil
+			stored.Version, stored.RemovalDelay = version, 0
 			c.changed = true
 		}
 	}
@@ -166,8 +202,12 @@
 				continue
 			}
 			e := stored.at(now)
-			if !stored.removeAt.IsZero() {
-				e = Entry{Topic: e.Topic, Key: e.Key, Version: e.Version, Removed: true, RemovalDelay: max(1, stored.removeAt.Sub(now))}
+			if d := stored.deferred; d != nil {
+				e = *d
+				e.Version = stored.Version
+				if e.Removed {
+					e.RemovalDelay = max(1, stored.deferredUntil.Sub(now))
+				}
 			}
 			out = append(out, e)
 		}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -143,7 +143,7 @@
 		t.Error("a target whose removal is deferred was removed at once")
 	}
 	c.Merge(at(11*time.Second), Targets, []Entry{target("t1", 12)}, 12)
-	c.ApplyDeferredRemovals(at(12*time.Second + time.Millisecond))
+	c.ApplyDeferred(at(12*time.Second + time.Millisecond))
 	if got := activeTargets(c.Assemble()); !reflect.DeepEqual(got, []string{"t1"}) {
 		t.Errorf("targets %v, want only t1, which registered again", got)
 	}
@@ -227,11 +227,11 @@
 	first.Merge(at(10*time.Second), Targets, []Entry{removal("t1", 10)}, 10)
 	now := at(11 * time.Second)
 	second.MergeAll(now, first.EntriesAfter(now, second.Position()), first.Position())
-	second.ApplyDeferredRemovals(now)
+	second.ApplyDeferred(now)
 	if second.Assemble() != nil {
 		t.Error("the target whose removal is deferred was removed at once")
 	}
-	second.ApplyDeferredRemovals(at(12*time.Second + time.Millisecond))
+	second.ApplyDeferred(at(12*time.Second + time.Millisecond))
 	if got := activeTargets(second.Assemble()); len(got) != 0 {
 		t.Errorf("targets %v after the removal delay, want none", got)
 	}
@@ -272,7 +272,7 @@
 	c.StoreRecovered(at(0), Targets)
 	c.Merge(at(0), Targets, []Entry{removal("t1", 11)}, 11)
 	now := at(removalGrace + time.Second)
-	c.ApplyDeferredRemovals(now)
+	c.ApplyDeferred(now)
 	entries := c.EntriesAfter(now, Position{Operators: 1, Targets: 10})
 	if !reflect.DeepEqual(entries, []Entry{removal("t1", 11)}) {
 		t.Errorf("entries %v, want the removal of t1", entries)
--- a/pkg/catalog/entry.go
+++ b/pkg/catalog/entry.go
@@ -37,7 +37,8 @@
 type Entry struct {
 	Topic Topic  `json:"topic"`
 	Key   string `json:"key"`
-	// Version orders the entries of a topic. A higher version replaces a lower one.
+	// Version orders the entries of a topic, also over generations of the store; see
+	// VersionOf. A higher version replaces a lower one.
 	Version uint64 `json:"version"`
 	// Removed marks the removal of the entry.
 	Removed bool `json:"removed,omitempty"`
@@ -88,4 +89,6 @@
 	// StartMillis is when the target started, in Unix milliseconds, or zero if the
 	// entry does not state it.
 	StartMillis int64 `json:"born,omitempty"`
+	// Sequence counts the target's writes since its start.
+	Sequence int64 `json:"seq,omitempty"`
 }
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -40,6 +40,7 @@
 	probes           chan probe
 	announceDue      chan struct{}
 	blocksDue        chan struct{}
+	registerDue      chan struct{}
 	tables           atomic.Pointer[table.Tables]
 	blocks           atomic.Pointer[loadedBlocks]
 	shares           atomic.Pointer[steer.Shares]
@@ -69,7 +70,9 @@
 	leaving             bool
 	registered          bool // set once the platform has listed this instance
 	listRead            bool // set once the platform's list of instances has been read
-	startedAt           time.Time
+	// storeGeneration is the generation of the platform's store as far as known here.
+	storeGeneration uint64
+	startedAt       time.Time
 
 	// storedRow and rowETag are the zone's row as last read from or written to
 	// the store. Only the row loop uses them.
@@ -114,6 +117,7 @@
 	c.loader = tablestore.NewLoader(guardedObjects{cfg.Objects, c.storeGuard})
 	c.borrower = allowance.NewBorrower(t.Allowance, func(n int) int { return int(cfg.Rand() * float64(n)) })
 	c.blocksDue = make(chan struct{}, 1)
+	c.registerDue = make(chan struct{}, 1)
 	c.probes = make(chan probe, 1)
 	if len(cfg.Feeds) > 0 {
 		c.discovery = newDiscovery()
@@ -144,7 +148,7 @@
 	c.startedAt = time.Now()
 	c.mu.Unlock()
 	var wg conc.WaitGroup
-	loops := []func(context.Context){c.registerLoop, c.listLoop, c.heartbeatLoop, c.probeLoop, c.zonesLoop}
+	loops := []func(context.Context){c.registerLoop, c.listLoop, c.heartbeatLoop, c.probeLoop, c.zonesLoop, c.reregisterLoop}
 	if c.discovery != nil {
 		loops = append(loops, c.discoveryLoops()...)
 	} else {
--- a/pkg/cluster/config.go
+++ b/pkg/cluster/config.go
@@ -118,6 +118,9 @@
 	// tables are assembled from them, each target limits its own load, and no
 	// shares are leased: Tables and Objects are not used.
 	Feeds []platform.Feed
+	// StoreGeneration returns the generation of the platform's store, as far as this
+	// instance has seen it; see catalog.GenerationOf. Optional.
+	StoreGeneration func() uint64
 	// Peers calls other instances.
 	Peers instance.Transport
 	Log   *zap.Logger
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -224,6 +224,11 @@
 // pool. The caller holds mu.
 func (c *Cluster) assembleTables() {
 	d := c.discovery
+	c.observeStoreGeneration(time.Now())
+	if kept, ok := d.catalog.TakeKept(); ok {
+		c.cfg.Log.Info("kept what is newer than the restored copy of the platform's store",
+			zap.Int("configs", kept.Configs), zap.Int("evacuations", kept.Evacuations), zap.Int("targets", kept.Targets))
+	}
 	t := d.catalog.Assemble()
 	if t == nil || !d.synced[catalog.Targets] && d.tablesVersion == 0 && len(t.Pools) == 0 {
 		return
@@ -245,7 +250,7 @@
 	for sleep(ctx, catalogTickInterval, nil) {
 		c.mu.Lock()
 		now := time.Now()
-		c.discovery.catalog.ApplyDeferredRemovals(now)
+		c.discovery.catalog.ApplyDeferred(now)
 		c.assembleTables()
 		c.checkFeedLag(now)
 		c.propagateMemberChanges(now)
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 	version uint64
 	entries [catalog.TopicCount][]catalog.Entry
 	changed chan struct{}
+	// generation counts the restores.
+	generation uint64
 	// unresponsive names the instances whose reads stay unanswered.
 	// allUnresponsive is set if all reads do.
 	unresponsive    map[string]bool
@@ -48,6 +51,39 @@
 	r.changed = make(chan struct{})
 }
 
+// feedCopy is a copy of what has been written to the feeds.
+type feedCopy struct {
+	version uint64
+	entries [catalog.TopicCount][]catalog.Entry
+}
+
+func (r *fakeFeedStore) copy() feedCopy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := feedCopy{version: catalog.StoredVersionOf(r.version)}
+	for t := range r.entries {
+		c.entries[t] = slices.Clone(r.entries[t])
+	}
+	return c
+}
+
+// restore replaces what has been written by an older copy, in a new generation.
+func (r *fakeFeedStore) restore(c feedCopy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.generation++
+	r.version = catalog.VersionOf(r.generation, c.version)
+	for t := range r.entries {
+		r.entries[t] = slices.Clone(c.entries[t])
+		for i := range r.entries[t] {
+			e := &r.entries[t][i]
+			e.Version = catalog.VersionOf(r.generation, catalog.StoredVersionOf(e.Version))
+		}
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // setTarget writes the entry of a target or its removal.
 func (r *fakeFeedStore) setTarget(id string, present bool) {
 	e := catalog.Entry{Topic: catalog.Targets, Key: id, Removed: !present}
@@ -115,6 +151,10 @@
 			return nil, 0, err
 		}
 		f.store.mu.Lock()
+		if catalog.GenerationOf(after) < f.store.generation {
+			f.store.mu.Unlock()
+			return nil, 0, fault.New(fault.KindHistoryGone, "restored")
+		}
 		changed, version := f.store.changed, f.store.version
 		var out []catalog.Entry
 		for _, e := range f.store.entries[f.topic] {
--- a/pkg/cluster/platformlist.go
+++ b/pkg/cluster/platformlist.go
@@ -73,6 +73,7 @@
 		infos[i] = toInfo(in)
 	}
 	c.mu.Lock()
+	c.observeStoreGeneration(time.Now())
 	c.view.ObserveList(time.Now(), infos)
 	c.listRead = true
 	c.mu.Unlock()
@@ -121,7 +122,7 @@
 		// partitioned from it.
 		return nil
 	}
-	stale := c.view.StaleListings(now, c.cell, staleEntryAge)
+	stale := append(c.view.Reappeared(c.cell), c.view.StaleListings(now, c.cell, staleEntryAge)...)
 	return stale[:min(maxRemovalsPerRead, len(stale))]
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -45,6 +45,9 @@
 	// Feeds deliver what operators and targets write, on platforms where targets
 	// register themselves.
 	Feeds []platform.Feed
+	// StoreGeneration returns the generation of the platform's store, which rises when
+	// the store is restored from an older copy. Optional.
+	StoreGeneration func() uint64
 	// Dialect gives the names of the header fields of callers and targets; the
 	// zero value means the native names.
 	Dialect wire.Dialect
@@ -128,7 +131,7 @@
 	c := cluster.New(cluster.Config{
 		Self: d.self, Timing: cluster.DefaultTiming(),
 		Tables: adapter.Tables, Objects: adapter.Objects, Instances: adapter.Instances,
-		Feeds: adapter.Feeds, Seeds: s.Instance.Seeds,
+		Feeds: adapter.Feeds, StoreGeneration: adapter.StoreGeneration, Seeds: s.Instance.Seeds,
 		Peers: d.peerClient, Log: log, Rand: rand.Float64,
 	})
 	d.peerServer = instance.NewServer(c.Handler(), serverTLS, d.recordCallPanic)
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -112,11 +113,28 @@
 	timing  Timing
 	entries map[string]*entry
 	relays  relayState
+	// holdUnlistedUntil is the time before which members are not removed because the
+	// list lacks them.
+	holdUnlistedUntil time.Time
+	// ended holds the incarnations that have left or have been removed, by instance ID.
+	ended map[string]endedInstance
+	// reappeared are the ended incarnations in the last list.
+	reappeared []Info
 }
 
+// endedInstance is an incarnation of an instance that has ended.
+type endedInstance struct {
+	incarnation string
+	at          time.Time
+}
+
+// keepEnded is how long it is remembered which incarnations have ended. A store that is
+// restored from a copy some seconds old lists them again.
+const keepEnded = 5 * time.Minute
+
 // New returns a view that contains only self.
 func New(self Info, timing Timing) *View {
-	return &View{self: self, timing: timing, entries: map[string]*entry{}, relays: newRelayState()}
+	return &View{self: self, timing: timing, entries: map[string]*entry{}, relays: newRelayState(), ended: map[string]endedInstance{}}
 }
 
 // Self returns this instance's own description.
@@ -158,22 +176,47 @@
 }
 
 // ObserveList applies the platform's list of instances. Members that are not
-// listed and have been unseen for longer than ForgetAfter are removed.
+// listed and have been unseen for longer than ForgetAfter are removed. Incarnations that
+// have ended are ignored.
 func (v *View) ObserveList(now time.Time, list []Info) {
 	for _, e := range v.entries {
 		e.listed = false
 	}
+	v.reappeared = nil
 	for _, in := range list {
+		if ended, ok := v.ended[in.ID]; ok && in.Incarnation <= ended.incarnation && v.entries[in.ID] == nil {
+			v.reappeared = append(v.reappeared, in)
+			continue
+		}
 		if e := v.upsert(now, in); e != nil {
 			e.listed = true
 		}
 	}
 	for id, e := range v.entries {
-		if !e.listed && v.unseenFor(now, e) > v.timing.ForgetAfter {
+		if !e.listed && v.unseenFor(now, e) > v.timing.ForgetAfter && !now.Before(v.holdUnlistedUntil) {
+			v.ended[id] = endedInstance{incarnation: e.info.Incarnation, at: now}
 			delete(v.entries, id)
 			v.relays.forget(id)
 		}
 	}
+	maps.DeleteFunc(v.ended, func(_ string, e endedInstance) bool { return now.Sub(e.at) > keepEnded })
+}
+
+// HoldUnlisted keeps members that the list lacks until the given time: their entries are
+// lost with a restore of the store, and they write them again.
+func (v *View) HoldUnlisted(until time.Time) { v.holdUnlistedUntil = until }
+
+// Reappeared returns the instances of a cell in the last list whose incarnations have
+// ended, sorted by id.
+func (v *View) Reappeared(cell string) []Info {
+	var out []Info
+	for _, in := range v.reappeared {
+		if in.EffectiveCell() == cell {
+			out = append(out, in)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
 }
 
 // ObserveMessage records that a message, such as a heartbeat or a reply, was
--- a/pkg/decision/member/member_test.go
+++ b/pkg/decision/member/member_test.go
@@ -173,3 +173,63 @@
 		}
 	})
 }
+
+// listOf returns a list of instances of the zone a, all with the incarnation 1.
+func listOf(ids ...string) []Info {
+	var list []Info
+	for _, id := range ids {
+		list = append(list, Info{ID: id, Zone: "a", Incarnation: "1"})
+	}
+	return list
+}
+
+// TestMembersOutlastAListThatLacksThem covers a store that is restored from a copy of before
+// the members registered. Those of other cells are known from the list only.
+func TestMembersOutlastAListThatLacksThem(t *testing.T) {
+	start := time.Unix(1000, 0)
+	timing := DefaultTiming()
+	v := New(Info{ID: "self", Zone: "b", Incarnation: "1"}, timing)
+	v.ObserveList(start, listOf("x", "y"))
+	restored := start.Add(time.Hour)
+	v.HoldUnlisted(restored.Add(timing.ForgetAfter))
+	v.ObserveList(restored, listOf("x"))
+	if n := len(v.Members(restored)); n != 2 {
+		t.Errorf("%d members after the restore, want 2", n)
+	}
+	v.ObserveList(restored.Add(timing.ForgetAfter), listOf("x"))
+	if n := len(v.Members(restored)); n != 1 {
+		t.Errorf("%d members of which one has not registered again, want 1", n)
+	}
+}
+
+// TestEndedInstancesStayAwayWhenAListNamesThemAgain covers instances that had left before
+// the store was restored from a copy that still lists them.
+func TestEndedInstancesStayAwayWhenAListNamesThemAgain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	v := New(Info{ID: "self", Zone: "a", Incarnation: "1"}, DefaultTiming())
+	v.ObserveList(start, listOf("x", "y"))
+	later := start.Add(time.Hour)
+	v.ObserveList(later, listOf("y"))
+	v.ObserveList(later.Add(time.Second), listOf("x", "y"))
+	if members := v.Members(later.Add(time.Second)); len(members) != 1 || members[0].ID != "y" {
+		t.Errorf("members %v, want y only", members)
+	}
+	if again := v.Reappeared("a"); len(again) != 1 || again[0].ID != "x" {
+		t.Errorf("reappeared %v, want x", again)
+	}
+	v.ObserveList(later.Add(2*time.Second), append(listOf("y"), Info{ID: "x", Zone: "a", Incarnation: "2"}))
+	if n := len(v.Members(later.Add(2 * time.Second))); n != 2 || len(v.Reappeared("a")) != 0 {
+		t.Errorf("%d members after x has started again, want 2", n)
+	}
+}
+
+func TestMessageOfAnEndedIncarnationCounts(t *testing.T) {
+	start := time.Unix(1000, 0)
+	v := New(Info{ID: "self", Zone: "a", Incarnation: "1"}, DefaultTiming())
+	v.ObserveList(start, listOf("x"))
+	v.ObserveList(start.Add(time.Hour), nil)
+	v.ObserveMessage(start.Add(time.Hour), Info{ID: "x", Zone: "a", Incarnation: "1"})
+	if n := len(v.Members(start.Add(time.Hour))); n != 1 {
+		t.Errorf("%d members, want the one that has sent a message", n)
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,5 +1,6 @@
 // Package soak runs instances as separate processes on loopback with stand-ins of
-// the users' platform, and injects faults from outside: signals, store outages,
+// the users' platform, and injects faults from outside: signals, store outages, restores of
+// the store from older copies,
 // proxies that delay, reset, block one direction or discard all bytes, and servers
 // that leave, refuse requests with Retry-After, limit their rate or send endless responses. It checks
 // the system's guarantees by what callers and servers observe.
@@ -102,7 +103,7 @@
 
 // runSeed runs one seed: first sequential and overlapping faults, then, without
 // faults, checks of the recovery, a planned shutdown, a configuration change, a
-// drain, the end of a rate limit, the recorded runs and the targets' notices.
+// drain, a restore of the store after it, the end of a rate limit, the recorded runs and the targets' notices.
 func runSeed(t *testing.T, seed uint64) {
 	dir := t.TempDir()
 	if *logDir != "" {
@@ -118,13 +119,16 @@
 	faults.Go(func() { injectFaults(dep, rand.New(rand.NewPCG(seed, 99))) })
 	faults.Go(func() { injectPeerFaults(dep, rand.New(rand.NewPCG(seed, 98))) })
 	faults.Go(func() { injectTargetFaults(dep, rand.New(rand.NewPCG(seed, 97))) })
+	faults.Go(func() { injectRestores(dep, rand.New(rand.NewPCG(seed, 95))) })
 	faults.Wait()
 	dep.await("all instances are ready again", func() bool { return dep.readyCount() == len(dep.daemons) })
 	dep.await("every endless response has been ended", func() bool { return dep.openEndlessResponses() == 0 })
 	c.checkRecovery()
 	c.checkPlannedStop(dep.daemons[int(seed)%len(dep.daemons)])
 	c.checkConfig()
-	c.checkDrain(dep.stayingBackend(int(seed)))
+	drained, beforeDrain := dep.stayingBackend(int(seed)), dep.store.Copy()
+	c.checkDrain(drained)
+	c.checkDrainOutlastsRestore(drained, beforeDrain)
 	c.checkRateLimitEnds()
 	c.stopAndWait()
 	c.checkRuns()
