One package for the hashes of decisions

The mixing function stood in steer and, since the rate limits, in ratelimit, and its steps a third time in the random sequence of the core. No choice changes: the functions are the same.

--- a/pkg/decision/ratelimit/members.go
+++ b/pkg/decision/ratelimit/members.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 )
 
 // Member is an instance that shares the limits of targets.
@@ -38,7 +38,7 @@
 	for _, in := range list {
 		if !seen[in.ID] {
 			seen[in.ID] = true
-			m.list = append(m.list, member{Member: in, hash: xxhash.Sum64String(in.ID)})
+			m.list = append(m.list, member{Member: in, hash: hashing.Name(in.ID)})
 		}
 	}
 	return m
@@ -89,20 +89,12 @@
 	if own < 0 || !m.complete {
 		return false
 	}
-	ownRank := mix(target, m.list[own].hash)
+	ownRank := hashing.Mix(target, m.list[own].hash)
 	higher := 0
 	for i := range m.list {
-		if mix(target, m.list[i].hash) > ownRank {
+		if hashing.Mix(target, m.list[i].hash) > ownRank {
 			higher++
 		}
 	}
 	return higher < count
 }
-
-// mix combines two hashes with the SplitMix64 finaliser.
-func mix(a, b uint64) uint64 {
-	z := a ^ (b + 0x9e3779b97f4a7c15)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
--- a/pkg/decision/ratelimit/share.go
+++ b/pkg/decision/ratelimit/share.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 )
 
 const (
@@ -75,7 +75,8 @@
 		}
 	}
 	s.Interval = seconds(float64(m.Count()) / (checkFraction * rate))
-	s.SilentFor = staleAfter + time.Duration(m.checkPhase(t)*float64(s.Interval))
+	// The hash spreads the checks of the members.
+	s.SilentFor = staleAfter + time.Duration(hashing.Uniform(t.Hash, hashing.Name(m.self))*float64(s.Interval))
 	return s
 }
 
@@ -136,11 +137,5 @@
 	return parts
 }
 
-// checkPhase returns a number between 0 and 1 that spreads the checks of the members.
-func (m *Members) checkPhase(t Target) float64 {
-	const mantissa = 53
-	return float64(mix(t.Hash, xxhash.Sum64String(m.self))>>(64-mantissa)) / (1 << mantissa)
-}
-
 // seconds returns s seconds as a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -3,8 +3,7 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/mechanism"
 )
 
@@ -20,17 +19,6 @@
 	return targetsPerObject
 }
 
-// hashName returns the hash of a target's, instance's or route's name.
-func hashName(name string) uint64 { return xxhash.Sum64String(name) }
-
-// mixHashes combines two hashes with the SplitMix64 finaliser.
-func mixHashes(a, b uint64) uint64 {
-	z := a ^ (b + 0x9e3779b97f4a7c15)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
-
 // rankedTarget is a target with its rank for an object; the highest comes
 // first.
 type rankedTarget struct {
@@ -61,12 +49,6 @@
 	}
 }
 
-// uniformHash maps a target and an object to a number between 0 and 1.
-func uniformHash(target, object uint64) float64 {
-	const mantissa = 53
-	return (float64(mixHashes(target, object)>>(64-mantissa)) + 0.5) / (1 << mantissa)
-}
-
 // rendezvousRank returns a target's rank by weighted rendezvous hashing: its
 // probability to be first is proportional to its weight.
 func rendezvousRank(draw, weight float64) float64 { return weight / -math.Log(draw) }
@@ -119,7 +101,7 @@
 		}
 		for j := range p.rankInputs {
 			in := &p.rankInputs[j]
-			draw, weight := uniformHash(in.hash, r.ObjectKey), weights[i][in.zone]*in.slots
+			draw, weight := hashing.Uniform(in.hash, r.ObjectKey), weights[i][in.zone]*in.slots
 			if ranksBelow(draw, weight, least) {
 				continue
 			}
--- a/pkg/decision/steer/affinity_test.go
+++ b/pkg/decision/steer/affinity_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 )
 
 // referenceRank ranks all targets for the object of r without skipping any.
@@ -14,7 +16,7 @@
 		for j, target := range p.targets {
 			if target.availableWarm(r, now) {
 				weight := c.placementOf(snap, r, now).regionWeights[i][p.rankInputs[j].zone] * float64(target.row.Slots)
-				ranking = append(ranking, rankedTarget{target: target, rank: rendezvousRank(uniformHash(target.hash, r.ObjectKey), weight)})
+				ranking = append(ranking, rankedTarget{target: target, rank: rendezvousRank(hashing.Uniform(target.hash, r.ObjectKey), weight)})
 			}
 		}
 	}
@@ -77,7 +79,7 @@
 	const objects = 20000
 	first := 0
 	for key := range uint64(objects) {
-		r := &Request{Route: &tb.Routes[0], ObjectKey: hashName("object") + key, service: "feedlog"}
+		r := &Request{Route: &tb.Routes[0], ObjectKey: hashing.Name("object") + key, service: "feedlog"}
 		var set [targetsPerObject]rankedTarget
 		if c.rankTargets(snap, r, 0, set[:]); set[0].target.row.Slots == 3 {
 			first++
--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/departure"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/poison"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/retry"
@@ -176,10 +177,7 @@
 // random returns the next number of a SplitMix64 sequence. It may be called
 // from several goroutines at once.
 func (c *Core) random() uint64 {
-	z := c.seed.Add(0x9e3779b97f4a7c15)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
+	return hashing.Finalize(c.seed.Add(hashing.Increment))
 }
 
 // refuse returns a refusal with the default retry-after time of its kind.
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/mechanism"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/retry"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/split"
@@ -324,7 +325,7 @@
 	if len(backends) == 1 {
 		return backends[0].Name
 	}
-	point := uniformHash(hashName(r.Route.Name), r.ObjectKey)
+	point := hashing.Uniform(hashing.Name(r.Route.Name), r.ObjectKey)
 	if !r.usesAffinity() {
 		_, point = math.Modf(float64(rt.arrivals.Add(1)) * goldenRatio)
 	}
--- a/pkg/decision/steer/direct_test.go
+++ b/pkg/decision/steer/direct_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
@@ -52,7 +53,7 @@
 
 // directCore returns the Core of an instance in a region, with direct dispatch.
 func directCore(t *table.Tables, id, region string, instances ...string) *Core {
-	c := New(Self{Instance: id, Zone: region + "-a", Region: region}, rand.NewPCG(hashName(id), 1))
+	c := New(Self{Instance: id, Zone: region + "-a", Region: region}, rand.NewPCG(hashing.Name(id), 1))
 	c.EnableDirect(directPolicy)
 	c.SetInstances(epoch, membersOf(append([]string{id}, instances...)...), true)
 	c.SetTables(epoch, t)
@@ -385,7 +386,7 @@
 	}
 	sent := 0
 	for _, id := range ids {
-		c := New(Self{Instance: id, Zone: "osrednja-a", Region: "osrednja"}, rand.NewPCG(hashName(id), 1))
+		c := New(Self{Instance: id, Zone: "osrednja-a", Region: "osrednja"}, rand.NewPCG(hashing.Name(id), 1))
 		c.EnableDirect(directPolicy)
 		members(c, ids)
 		c.SetTables(epoch, tb)
--- a/pkg/decision/steer/history.go
+++ b/pkg/decision/steer/history.go
@@ -1,6 +1,10 @@
 package steer
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
+)
 
 // maxPairsPerGeneration bounds the size of each of the two generations of an
 // objectHistory.
@@ -20,7 +24,7 @@
 // and reports whether it already had been. Another incarnation of a target has
 // another serial number.
 func (h *objectHistory) record(serial, object uint64) (known bool) {
-	pair := mixHashes(serial, object)
+	pair := hashing.Mix(serial, object)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, known = h.recent[pair]; known {
--- a/pkg/decision/steer/ratelimit_replay_test.go
+++ b/pkg/decision/steer/ratelimit_replay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
@@ -101,7 +102,7 @@
 // newCore returns the core of an instance that has not heard of the others yet.
 func (r *limitReplay) newCore(i int) *Core {
 	region := regionNames[i%len(regionNames)]
-	c := New(Self{Instance: r.ids[i], Zone: region + "-a", Region: region}, rand.NewPCG(hashName(r.ids[i]), 1))
+	c := New(Self{Instance: r.ids[i], Zone: region + "-a", Region: region}, rand.NewPCG(hashing.Name(r.ids[i]), 1))
 	c.EnableDirect(directPolicy)
 	c.SetTables(epoch, r.tables)
 	return c
--- a/pkg/decision/steer/target.go
+++ b/pkg/decision/steer/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/choice"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/ratelimit"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
@@ -48,7 +49,7 @@
 
 // newTargetStats returns the statistics of a target without any observations.
 func (c *Core) newTargetStats(name string) *targetStats {
-	return &targetStats{name: name, hash: hashName(name), serial: c.lastSerial.Add(1)}
+	return &targetStats{name: name, hash: hashing.Name(name), serial: c.lastSerial.Add(1)}
 }
 
 // target is a target's row of the tables in force, with its statistics.
