Keep a target's rate limit while its registration has expired

A target whose registration is missing in the tables for a moment (it could not renew it in an outage of the store) lost its limit at every instance. Back in the tables, it got a request of each instance before that had been told again: 21 in 4 s at a limit of 2 a second and 84 instances, allowed 17 (TestLimitHoldsWhenTheTargetReturnsToTheTables fails so without the change). The record now stays for 30 s after the target's last response; another incarnation still ends it at once.

--- a/pkg/decision/ratelimit/ledger.go
+++ b/pkg/decision/ratelimit/ledger.go
@@ -21,6 +21,9 @@
 	// keepEnded is how long the end of a limit is kept, so that older records of the
 	// limit are recognized.
 	keepEnded = 30 * time.Second
+	// keepGone is how long the limit of a target is kept that is not in the tables. Its
+	// registration may have expired in an outage of the platform's store.
+	keepGone = 30 * time.Second
 	// endMargin is how much later than the last known announcement a peer must have
 	// seen the end. Messages take a while, and the age in a record does not include it.
 	endMargin = time.Second
@@ -147,15 +150,15 @@
 
 // Limits drops obsolete records and returns the limits in force by target name.
 // incarnationOf returns the present incarnation of a target, and false for a target that
-// is gone. A target that starts anew has no limit until it announces one.
+// is not in the tables. A target that starts anew has no limit until it announces one.
 func (l *Ledger) Limits(now time.Time, incarnationOf func(name string) (string, bool)) map[string]Known {
-	maps.DeleteFunc(l.records, func(name string, r *storedRecord) bool {
-		incarnation, ok := incarnationOf(name)
-		return !ok || !sameIncarnation(incarnation, r.incarnation) || r.ended && now.Sub(r.at) >= keepEnded
-	})
 	limits := make(map[string]Known)
 	for name, r := range l.records {
-		if !r.ended {
+		incarnation, present := incarnationOf(name)
+		switch age := now.Sub(r.at); {
+		case present && !sameIncarnation(incarnation, r.incarnation), !present && age >= keepGone, r.ended && age >= keepEnded:
+			delete(l.records, name)
+		case present && !r.ended:
 			limits[name] = Known{PerSecond: r.perSecond, HeardAt: r.at}
 		}
 	}
--- a/pkg/decision/steer/ratelimit_replay_test.go
+++ b/pkg/decision/steer/ratelimit_replay_test.go
@@ -436,3 +436,25 @@
 		t.Errorf("%.1f requests a second at a limit of 2", got)
 	}
 }
+
+// TestLimitHoldsWhenTheTargetReturnsToTheTables has the registration of a limited target
+// expire for a few seconds.
+func TestLimitHoldsWhenTheTargetReturnsToTheTables(t *testing.T) {
+	for _, instances := range fleetSizes {
+		r := newLimitReplay(instances, 4, limitFrom(limitedTarget1, time.Second, 2))
+		r.run(0, 6*time.Second, 500)
+		without, again := *r.tables, *r.tables
+		without.Version, again.Version = 2, 3
+		without.Pools = slices.Clone(r.tables.Pools)
+		without.Pools[0].Targets = slices.DeleteFunc(slices.Clone(without.Pools[0].Targets), func(tg table.Target) bool { return tg.Name == limitedTarget1 })
+		for _, c := range r.cores {
+			c.SetTables(at(6*time.Second), &without)
+		}
+		r.run(6*time.Second, 9*time.Second, 500)
+		for _, c := range r.cores {
+			c.SetTables(at(9*time.Second), &again)
+		}
+		r.run(9*time.Second, 16*time.Second, 500)
+		r.checkLimit(t, limitedTarget1)
+	}
+}
