Give regions without targets of a service their part of a rate limit

The instances of a region without any target of a service had no part of the limit of the others' targets. If all targets of the service limit their requests, their callers would have been refused for as long as that lasts, while other regions' were served. Their demand now follows from the same placement of objects as that of the other regions.

--- a/pkg/decision/ratelimit/share.go
+++ b/pkg/decision/ratelimit/share.go
@@ -33,9 +33,19 @@
 type Target struct {
 	// Hash is a hash of the target's name.
 	Hash uint64
-	// Demand is the relative demand of the instances of each region for the target.
-	// Without it the demand of all regions is equal.
-	Demand map[string]float64
+	// Demand is the relative demand of the instances of each region for the target, and
+	// OtherDemand that of the regions that it lacks. If all are zero, the demand of all
+	// regions is equal.
+	Demand      map[string]float64
+	OtherDemand float64
+}
+
+// demandOf returns the relative demand of a region.
+func (t *Target) demandOf(region string) float64 {
+	if demand, ok := t.Demand[region]; ok {
+		return demand
+	}
+	return t.OtherDemand
 }
 
 // Share is what one instance may send to a target with a limit.
@@ -98,13 +108,16 @@
 	var parts []part
 	total := 0.0
 	for region, count := range m.countByRegion() {
-		demand := 1.0
-		if t.Demand != nil {
-			demand = t.Demand[region]
-		}
+		demand := t.demandOf(region)
 		parts = append(parts, part{region: region, demand: demand, senders: count})
 		total += demand
 	}
+	if total == 0 {
+		for i := range parts {
+			parts[i].demand = 1
+			total++
+		}
+	}
 	slices.SortFunc(parts, func(a, b part) int {
 		return cmp.Or(cmp.Compare(b.demand, a.demand), cmp.Compare(a.region, b.region))
 	})
@@ -115,10 +128,7 @@
 	for i := range parts {
 		p := &parts[i]
 		p.members = m.inRegion(p.region)
-		senders := 0
-		if total > 0 {
-			senders = int(sendersPerRequest * rate * p.demand / total)
-		}
+		senders := int(sendersPerRequest * rate * p.demand / total)
 		if i == 0 {
 			senders = max(1, senders)
 		}
@@ -129,10 +139,7 @@
 	}
 	parts = slices.DeleteFunc(parts, func(p part) bool { return p.senders == 0 })
 	for i := range parts {
-		parts[i].perSecond = rate
-		if used > 0 {
-			parts[i].perSecond = rate * parts[i].demand / used
-		}
+		parts[i].perSecond = rate * parts[i].demand / used
 	}
 	return parts
 }
--- a/pkg/decision/steer/ratelimit.go
+++ b/pkg/decision/steer/ratelimit.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,7 +180,7 @@
 	}
 	dispatchers, shared := l.members, ratelimit.Target{Hash: t.hash}
 	if c.direct != nil {
-		shared.Demand = regionDemand(snap.poolsOf(l.pool.row.Service), l.pool, c.locationWeights())
+		shared.Demand, shared.OtherDemand = regionDemand(snap.poolsOf(l.pool.row.Service), l.pool, c.locationWeights())
 	} else {
 		// Only the instances of its zone dispatch to the target.
 		dispatchers = dispatchers.InZone(t.row.Zone)
@@ -189,26 +190,31 @@
 }
 
 // regionDemand returns the fraction of the objects of each region's callers that are
-// placed in p, one of the pools of a service.
-func regionDemand(pools []*pool, p *pool, weigh weightFunc) map[string]float64 {
+// placed in p, one of the pools of a service. other is that of a region without a pool of
+// the service.
+func regionDemand(pools []*pool, p *pool, weigh weightFunc) (demand map[string]float64, other float64) {
 	slots := make([]float64, len(pools))
 	for i := range pools {
 		slots[i] = pools[i].undrainedSlots()
 	}
-	demand := make(map[string]float64, len(pools))
+	at := slices.Index(pools, p)
+	demand = make(map[string]float64, len(pools))
 	for own, from := range pools {
-		total := 0.0
-		for i, weight := range weigh(slots, own) {
-			total += weight * slots[i]
-			if pools[i] == p {
-				demand[from.row.Region] = weight * slots[i]
-			}
-		}
-		if total > 0 {
-			demand[from.row.Region] /= total
-		}
+		demand[from.row.Region] = fractionAt(at, slots, weigh(slots, own))
+	}
+	return demand, fractionAt(at, slots, weigh(slots, -1))
+}
+
+// fractionAt returns the fraction of the weighted slots that are at the index at.
+func fractionAt(at int, slots, weights []float64) float64 {
+	total := 0.0
+	for i, weight := range weights {
+		total += weight * slots[i]
+	}
+	if total == 0 {
+		return 0
 	}
-	return demand
+	return weights[at] * slots[at] / total
 }
 
 // identity returns the target's name and incarnation as this instance knows them.
--- a/pkg/decision/steer/ratelimit_replay_test.go
+++ b/pkg/decision/steer/ratelimit_replay_test.go
@@ -458,3 +458,16 @@
 		r.checkLimit(t, limitedTarget1)
 	}
 }
+
+// TestRegionsShareALimitByTheirDemand covers regions of equal size, one with fewer targets,
+// and one without any, whose callers are spread over the targets of the others.
+func TestRegionsShareALimitByTheirDemand(t *testing.T) {
+	tb := fleet{perRegion: []int{9, 3, 0}, slots: 4}.tables()
+	c := directCore(tb, "a", "osrednja")
+	snap := c.snapshot.Load()
+	pools := snap.poolsOf("feedlog")
+	demand, other := regionDemand(pools, pools[0], c.locationWeights())
+	if demand["osrednja"] < 0.9 || demand["stajerska"] < 0.3 || demand["stajerska"] > 0.7 || other != 0.75 {
+		t.Errorf("demand %v, other %v; want nearly all of osrednja, about half of stajerska, 0.75 of a region without targets", demand, other)
+	}
+}
