Send an object to a further target only when the first has no room

A further target was used as soon as its price was below the wait at the first one, also while that wait was within what a request may wait.

With the further target only where the first exceeds the wait, its price decides nothing any more, and is removed. Ruled out before: no further target at all, which refuses an object that asks for more than one target has.

--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -201,15 +201,14 @@
 	best.cost = maxDuration
 	var warm [targetsPerObject]rankedTarget
 	without := c.direct.policy.Without
-	for i, rt := range warm[:c.rankTargets(snap, r, now, warm[:maxTargetsPerObject(without)])] {
-		in := costInputs{work: est.warmWork, targetLatency: est.targetLatency, maxWait: est.maxWait, without: without}
-		if i > 0 {
-			// Being nearer earns no credit: the ranking already accounts for
-			// the capacity of each region.
-			saved := c.networkCost(warm[0].pool, warm[0].target) - c.networkCost(rt.pool, rt.target)
-			in.penalty = est.spreadPenalty + max(0, saved)
+	warmInputs := costInputs{work: est.warmWork, targetLatency: est.targetLatency, maxWait: est.maxWait, without: without}
+	for _, rt := range warm[:c.rankTargets(snap, r, now, warm[:maxTargetsPerObject(without)])] {
+		best.consider(c, rt.target, rt.pool, now, warmInputs)
+		if !best.exceedsWait {
+			// A request to a further target would warm that one up for an object
+			// whose first target has room.
+			return best
 		}
-		best.consider(c, rt.target, rt.pool, now, in)
 	}
 	if best.target != nil {
 		// A cold request occupies a slot for so much longer that spreading such
--- a/pkg/decision/steer/estimate.go
+++ b/pkg/decision/steer/estimate.go
@@ -103,16 +103,10 @@
 	warmWork, coldWork time.Duration
 	// maxWait is how long the request may wait at a target.
 	maxWait time.Duration
-	// spreadPenalty is added for each further target of an object, and
-	// coldPenalty for a target that is cold for the object.
-	spreadPenalty, coldPenalty time.Duration
+	// coldPenalty is added for a target that is cold for the object.
+	coldPenalty time.Duration
 }
 
-// warmupCostFactor is how many times the extra work of a cold request counts
-// against a further target of an object: once for that request, and once more
-// for the object that the target evicts.
-const warmupCostFactor = 2
-
 // estimate returns the expected costs of r on rt.
 func (rt *route) estimate(r *Request) estimate {
 	targetLatency := r.Route.TargetLatency.Std()
@@ -131,7 +125,6 @@
 		return e
 	}
 	e.coldWork = max(e.coldWork, e.warmWork)
-	e.spreadPenalty = warmupCostFactor * (e.coldWork - e.warmWork)
 	e.coldPenalty = time.Duration(coldPenaltyFraction * float64(e.coldWork))
 	return e
 }
--- a/pkg/decision/steer/objects_test.go
+++ b/pkg/decision/steer/objects_test.go
@@ -141,3 +141,32 @@
 		t.Errorf("verdict %v, kind %v, want a refusal with no-target", d.Verdict, d.Kind)
 	}
 }
+
+// TestFurtherTargetTakesOnlyWhatTheFirstHasNoRoomFor replays requests for one object where
+// warming up costs little. Each target that an object is sent to must learn it, and forgets
+// another one for it.
+func TestFurtherTargetTakesOnlyWhatTheFirstHasNoRoomFor(t *testing.T) {
+	tb := fleet{perRegion: []int{6, 0, 0}, slots: 4}.tables()
+	c := directCore(tb, "a", "osrednja")
+	now := at(time.Second)
+	for key := uint64(1); key <= 200; key++ {
+		for _, work := range []time.Duration{130 * time.Millisecond, 100 * time.Millisecond} {
+			c.Done(now, mustDispatch(t, c.Decide(now, directRequest(tb, now, key))), Result{Latency: work})
+		}
+	}
+	first := mustDispatch(t, c.Decide(now, directRequest(tb, now, 3)))
+	used := map[string]int{}
+	for range 30 {
+		d := c.Decide(now, directRequest(tb, now, 3))
+		if d.Verdict != Dispatch {
+			break
+		}
+		used[d.Target]++
+		if d.Target != first.Target && used[first.Target] < 10 {
+			t.Fatalf("a further target is used although only %d requests are at the first one", used[first.Target]+1)
+		}
+	}
+	if len(used) < 2 {
+		t.Error("no further target is used although the first one has no room")
+	}
+}
