Log the path, the status and the interim responses of a request

The request line now has path (as sent, 128 bytes at most), status and, where there were any, interim.

--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -15,12 +15,21 @@
 func (n *Node) logRefusal(r *http.Request, refusal caller.Refusal) {
 	if e := n.log.Check(zap.InfoLevel, "request refused"); e != nil {
 		e.Write(
-			zap.String("id", r.Header.Get(n.dialect.RequestID)), zap.String("host", r.Host), zap.String("path", r.URL.Path),
+			zap.String("id", r.Header.Get(n.dialect.RequestID)), zap.String("host", r.Host), zap.String("path", loggedPath(r)),
 			zap.String("kind", refusal.Kind.String()), zap.Uint64("tables", n.snapshot.Load().tables.Version), zap.String("why", refusal.Message),
 		)
 	}
 }
 
+// maxLoggedPath is the number of bytes of a request's path that are logged.
+const maxLoggedPath = 128
+
+// loggedPath returns the path of r as the caller sent it, cut to maxLoggedPath.
+func loggedPath(r *http.Request) string {
+	path := caller.RequestPath(r)
+	return path[:min(len(path), maxLoggedPath)]
+}
+
 // logFailedAttempt logs an attempt whose response, if any, was not relayed to the
 // caller.
 func (x *exchange) logFailedAttempt(err error) {
@@ -44,14 +53,18 @@
 	if e == nil {
 		return
 	}
+	status, interim := x.relay.Statuses()
 	fields := []zap.Field{
-		zap.String("id", x.id), zap.String("route", x.req.Route.Name), zap.String("object", x.object),
+		zap.String("id", x.id), zap.String("route", x.req.Route.Name), zap.String("path", loggedPath(x.httpReq)), zap.String("object", x.object),
 		zap.Bool("idempotent", x.req.Idempotent), zap.String("member", x.req.Member),
-		zap.String("outcome", outcome), zap.String("kind", x.kind.String()), zap.Int("attempts", x.req.Attempts),
+		zap.String("outcome", outcome), zap.String("kind", x.kind.String()), zap.Int("status", status), zap.Int("attempts", x.req.Attempts),
 		zap.Duration("took", took), zap.Duration("left", x.req.Deadline.Sub(x.node.now())),
 		zap.String("pool", x.lastDecision.Pool), zap.String("zone", x.lastZone()), zap.String("target", x.lastDecision.Target),
 		zap.Uint64("tables", x.snapshot.tables.Version), zap.Duration("tables_age", x.node.now().Sub(x.snapshot.tablesSince)),
 	}
+	if len(interim) > 0 {
+		fields = append(fields, zap.Ints("interim", interim))
+	}
 	e.Write(append(fields, x.diagnosticFields()...)...)
 }
 
--- a/pkg/peer/caller/relay.go
+++ b/pkg/peer/caller/relay.go
@@ -21,10 +21,14 @@
 	// allowedReserved is the one reserved header field that targets may set;
 	// empty means none.
 	allowedReserved string
-	// mu guards finalStarted and keeps interim responses from being written
+	// mu guards the fields below and keeps interim responses from being written
 	// after the final one has begun.
 	mu           sync.Mutex
 	finalStarted bool
+	// interim holds the statuses of the interim responses that were relayed, status
+	// that of the final one.
+	interim []int
+	status  int
 }
 
 // NewResponseRelay returns a ResponseRelay that writes to w.
@@ -56,6 +60,7 @@
 	saved := h.Clone()
 	upstream.CopyHeader(h, http.Header(header), isReservedField)
 	r.w.WriteHeader(code)
+	r.interim = append(r.interim, code)
 	clear(h)
 	for k, v := range saved {
 		h[k] = v
@@ -63,11 +68,23 @@
 	return nil
 }
 
+// Statuses returns the status of the final response that was relayed, or 0 without one,
+// and those of the interim responses before it.
+func (r *ResponseRelay) Statuses() (final int, interim []int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status, r.interim
+}
+
 // StopInterim drops all later interim responses.
-func (r *ResponseRelay) StopInterim() {
+func (r *ResponseRelay) StopInterim() { r.beginFinal(0) }
+
+// beginFinal drops all later interim responses and records the status of the final one,
+// 0 for one that is not relayed.
+func (r *ResponseRelay) beginFinal(status int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.finalStarted = true
+	r.finalStarted, r.status = true, status
 }
 
 // reservedHeaderPrefix is the prefix of reserved header fields, which are not relayed
@@ -91,7 +108,7 @@
 // response, without those for which skip returns true. The field passed to
 // AllowReservedField is never skipped.
 func (r *ResponseRelay) WriteFinalHeader(head ResponseHead, skip func(string) bool) {
-	r.StopInterim()
+	r.beginFinal(head.Status)
 	h := r.w.Header()
 	upstream.CopyHeader(h, head.Header, func(field string) bool { return skip(field) && (r.allowedReserved == "" || field != r.allowedReserved) })
 	// A nil value keeps net/http from guessing the type from the body.
--- a/pkg/peer/caller/request.go
+++ b/pkg/peer/caller/request.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
@@ -89,3 +90,13 @@
 	}
 	return false
 }
+
+// RequestPath returns the path of r as the caller sent it, without the query. It is
+// not unescaped: %2F is not a slash.
+func RequestPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") { // "*", or an absolute URI
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
