Reject responses whose status or version HTTP does not have

Cause: http.ReadResponse accepts statuses from 0 to 999, '+12' and '-00' among them, and any version. All below 200 counted as interim responses, but the writer of the caller's side takes only 100 to 199 as such and wrote the head as the final one. Evidence: with the keys added before, the request was logged with status 200 and interim [0]. Ruled out by it: that the bytes counted as the final response, and that the status was our own.

All responses of targets, probes and hops are now checked in one place behind the parser; what is no HTTP/1 response with a status from 100 to 599 is target-garbage, as an interim response too. The writer panics on such a status and closes the connection without a byte. That works since an invalid head can reach a caller only through these two places.

--- /dev/null
+++ b/pkg/node/malformedhead_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
+)
+
+// soundResponse returns the response that a raw target sends to a request for path.
+func soundResponse(path string) string {
+	text := "GET " + path + " "
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+// startTargetWithBadResponse serves a target that sends bad, and then the sound response,
+// to requests for /feedlog/bad.
+func startTargetWithBadResponse(t *testing.T, bad string) (address string) {
+	t.Helper()
+	return startRaw(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			if r.URL.Path == "/feedlog/bad" {
+				io.WriteString(c, bad)
+			}
+			io.WriteString(c, soundResponse(r.URL.Path))
+		}
+	})
+}
+
+// TestResponseWithInvalidStatusLineIsNotRelayed has a target send a head that is no HTTP/1
+// response in front of its sound one. If it counted as an interim response, the caller
+// would get its status as that of the final response.
+func TestResponseWithInvalidStatusLineIsNotRelayed(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 ", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +12 OK", "HTTP/1.1 -00 OK",
+		"HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/2.0 103 Early Hints",
+	} {
+		t.Run(line, func(t *testing.T) {
+			inst := startInstance(t, "a-1", "osrednja-a")
+			inst.settings.Probe.Interval = settings.Duration(time.Hour)
+			inst.run(t, oneTarget(startTargetWithBadResponse(t, line+"\r\n\r\n"), "osrednja-a"))
+			resp := sendRaw(t, inst, "POST /feedlog/bad HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", false)
+			if resp.StatusCode != 502 || resp.Header.Get(wire.HeaderKind) != "target-garbage" || resp.Header.Get(wire.HeaderOutcome) != "unknown" {
+				t.Errorf("status line %q, header %v", strings.TrimSpace(resp.Proto+" "+resp.Status), resp.Header)
+			}
+			checkServing(t, inst)
+		})
+	}
+}
--- a/pkg/peer/caller/pipeline/pipeline_test.go
+++ b/pkg/peer/caller/pipeline/pipeline_test.go
@@ -346,3 +346,15 @@
 		}
 	}
 }
+
+// TestInvalidStatusIsNotWritten has a handler write a status that HTTP doesn't have. The
+// caller must get no bytes that it would take for a response.
+func TestInvalidStatusIsNotWritten(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 600, 1000} {
+		_, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		_, br := dialAndSend(t, address, getRequest("/1"))
+		if line, err := br.ReadString('\n'); err != io.EOF || line != "" {
+			t.Errorf("status %d: the caller got %q, %v", status, line, err)
+		}
+	}
+}
--- a/pkg/peer/caller/pipeline/response.go
+++ b/pkg/peer/caller/pipeline/response.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
 // body is the body of a request.
@@ -147,12 +149,16 @@
 // Header implements http.ResponseWriter.
 func (w *response) Header() http.Header { return w.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. It panics on an invalid status: the caller
+// could not read the response, nor those behind it.
 func (w *response) WriteHeader(status int) {
 	if w.headerWritten {
 		return
 	}
-	if status >= 100 && status < http.StatusOK && status != http.StatusSwitchingProtocols {
+	if !wire.IsValidStatus(status) {
+		panic("invalid status " + strconv.Itoa(status) + " of a response")
+	}
+	if status < http.StatusOK && status != http.StatusSwitchingProtocols {
 		w.writeInterim(status)
 		return
 	}
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -146,6 +146,9 @@
 	defer c.wire.endHeader()
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.br, r)
+		if err == nil {
+			err = checkHead(resp)
+		}
 		switch {
 		case err != nil:
 			return nil, err
