--- a/pkg/node/malformedhead_test.go
+++ b/pkg/node/malformedhead_test.go
@@ -57,3 +57,50 @@
 		})
 	}
 }
+
+// TestResponseWithInvalidFieldNameIsNotRelayed has a target send a field whose name has a
+// space. A caller might read "Content-Length : 1" as the length of the body, which
+// here ends with its chunks.
+func TestResponseWithInvalidFieldNameIsNotRelayed(t *testing.T) {
+	for name, response := range map[string]string{
+		"space before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"space in the name":      "HTTP/1.1 200 OK\r\nOdd Name: 1\r\nContent-Length: 2\r\n\r\nok",
+		"interim response":       "HTTP/1.1 103 Early Hints\r\nLink : 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inst := startInstance(t, "a-1", "osrednja-a")
+			inst.settings.Probe.Interval = settings.Duration(time.Hour)
+			inst.run(t, oneTarget(startTargetWithBadResponse(t, response), "osrednja-a"))
+			resp := sendRaw(t, inst, "POST /feedlog/bad HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", false)
+			if resp.StatusCode != 502 || resp.Header.Get(wire.HeaderKind) != "target-garbage" {
+				t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+			}
+			checkServing(t, inst)
+		})
+	}
+}
+
+// TestInvalidTrailerFieldIsNotRelayed has a target send a trailer field whose name has a
+// space.
+func TestInvalidTrailerFieldIsNotRelayed(t *testing.T) {
+	inst := startInstance(t, "a-1", "osrednja-a")
+	response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nOdd Name: 1\r\nSum: 7\r\n\r\n"
+	inst.run(t, oneTarget(startRaw(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, ok := readRequest(br); !ok {
+				return
+			}
+			io.WriteString(c, response)
+		}
+	}), "osrednja-a"))
+	c, err := net.Dial("tcp", inst.self.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /feedlog HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	got, _ := io.ReadAll(c)
+	if strings.Contains(string(got), "Odd Name") {
+		t.Errorf("the caller got %q", got)
+	}
+}
