Match prefixes by the path as sent, with the slash that they end with

Cause: the matcher cut the final slash off each prefix and looked up the whole path first, so that a prefix matched a path that is one slash shorter. Paths were compared unescaped, so that /stock/tiles%2F1 went by /stock/tiles/ too. Evidence: with path in the request line, the orders were logged with route r-1, path /stock/tiles and pool archive under version 2. Ruled out by it: a mix of two versions (route and pool belong together) and a changed path.

A prefix with a final slash now begins only paths that have this slash; what is compared is the path as the caller sent it. An empty path is '/'. One function matches requests, repeats at their home, look-ups and explain.

The case '/a/b' of TestMatchPrefersHostThenLongestPrefixAtSegments expected the fault and is replaced by its opposite, with one for '/a/b/'. The test on it, TestPrefixDoesNotMatchPathWithoutItsLastSlash, TestMatchEqualsScanOfAllPrefixes and 6 of 11 cases of TestRouteIsMatchedByThePathAsSent failed before.

--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -63,9 +63,10 @@
 	case snap.tables.Version == 0:
 		return nil, &caller.Refusal{Kind: fault.KindNotReady, Message: "this instance has not received any tables yet"}
 	}
-	route := snap.matcher.Match(r.Host, r.URL.Path)
+	path := caller.RequestPath(r)
+	route := snap.matcher.Match(r.Host, path)
 	if route == nil {
-		return nil, &caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no route for host " + r.Host + " and path " + r.URL.Path}
+		return nil, &caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no route for host " + r.Host + " and path " + path}
 	}
 	return route, nil
 }
@@ -97,7 +98,7 @@
 // home.
 func (n *Node) serveRepeat(w http.ResponseWriter, r *http.Request) {
 	snap := n.snapshot.Load()
-	route := snap.matcher.Match(r.Host, r.URL.Path)
+	route := snap.matcher.Match(r.Host, caller.RequestPath(r))
 	if route == nil {
 		caller.Refusal{Kind: fault.KindHomeGone, Message: "no route matches the repeated request any longer"}.Write(w)
 		return
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -74,8 +74,9 @@
 	Name string `yaml:"name" json:"name"`
 	// Host matches the request's host without the port. Empty matches any.
 	Host string `yaml:"host,omitempty" json:"host,omitempty"`
-	// PathPrefix matches the start of the request's path at a segment
-	// boundary; the longest match wins. Default "/".
+	// PathPrefix matches the start of the request's path, as the caller sends it, at
+	// a segment boundary; the longest match wins. "/a" matches /a and /a/b, "/a/"
+	// matches /a/b and not /a. Default "/".
 	PathPrefix string `yaml:"path_prefix,omitempty" json:"path_prefix,omitempty"`
 	// Pools share the route's traffic by weight. Required, at least one weight above 0.
 	Pools []PoolWeight `yaml:"pools" json:"pools"`
