Close a connection after a refusal that names no request

What callers saw: a target refused an order without its id, ran the next one on the same connection, and sent the refusal once more where that one's response was due.

Cause: such a refusal was believed for whatever request was waiting, and its connection was kept, so that a copy could not be told from the refusal of the next request. A 421 of another target and refused probes, which share the connections, had the same effect.

Now the connection is closed after a refusal that names no request, of a request or a probe. That works because such a refusal can only be the last response on its connection.

--- a/pkg/peer/target/probe.go
+++ b/pkg/peer/target/probe.go
@@ -87,6 +87,7 @@
 		return probeResponse{}, nil, c.wrapError(upstream.AsError(err))
 	}
 	defer resp.Close()
+	c.preventReuseAfterRefusal(resp)
 	if name, ok := c.isFromTarget(resp.Header); !ok {
 		return probeResponse{}, nil, fault.New(fault.KindTargetGarbage, "target %s: probe response is from server %q", c.name, name)
 	}
--- /dev/null
+++ b/pkg/peer/target/refusal_test.go
@@ -0,0 +1,169 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+)
+
+const (
+	refusalWithoutID = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	misdirected      = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+)
+
+// repeatingTarget answers its first request with refusal. On the same connection it sends
+// refusal once more, late: where the response to the next request is expected, which it
+// has run.
+type repeatingTarget struct {
+	refusal string
+
+	mu      sync.Mutex
+	refused bool
+	runs    int
+	conns   []net.Conn
+}
+
+// serve accepts connections until ln is closed.
+func (r *repeatingTarget) serve(ln net.Listener, wg *sync.WaitGroup) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns = append(r.conns, c)
+		r.mu.Unlock()
+		wg.Go(func() { r.serveConn(c) })
+	}
+}
+
+func (r *repeatingTarget) serveConn(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for late := ""; ; {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, late)
+		late = ""
+		if r.refuses() {
+			late = r.refusal
+			_, _ = io.WriteString(c, late)
+			continue
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+req.Header.Get("Id")+"\r\nStamp: s\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// refuses reports whether the target refuses the request that has arrived, and counts it
+// as run otherwise.
+func (r *repeatingTarget) refuses() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.refused {
+		r.refused = true
+		return true
+	}
+	r.runs++
+	return false
+}
+
+// hasRun reports whether the target has run a request.
+func (r *repeatingTarget) hasRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs > 0
+}
+
+// start serves r until the test ends and returns a client of it.
+func (r *repeatingTarget) start(t *testing.T) *Client {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { r.serve(ln, &wg) })
+	c := New(upstream.NewDialer(upstream.Options{}), Options{Name: "t1", Address: ln.Addr().String(), MaxConnections: 4, Dialect: noticeDialect, HealthPath: "/health"})
+	t.Cleanup(func() {
+		c.Close()
+		_ = ln.Close()
+		r.mu.Lock()
+		for _, conn := range r.conns {
+			_ = conn.Close()
+		}
+		r.mu.Unlock()
+		wg.Wait()
+	})
+	return c
+}
+
+// send sends a request that is not idempotent and returns the kind of its failure.
+func send(t *testing.T, c *Client, id string) fault.Kind {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://x/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", id)
+	body, err := upstream.NewBody(r, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Send(t.Context(), r, body, time.Now().Add(time.Minute), upstream.SendOptions{NonIdempotent: true})
+	if err != nil {
+		return fault.KindOf(err)
+	}
+	defer resp.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return fault.KindNone
+}
+
+// TestLateCopyOfRefusalIsNotTakenForTheNextResponse guards against a request that has run
+// and counts as refused, because the refusal of an earlier one, which names no request,
+// arrives a second time on the same connection.
+func TestLateCopyOfRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"refusal":          refusalWithoutID,
+		"another target":   misdirected,
+		"malformed":        "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"limit of a rate":  "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"refusal, with id": "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := &repeatingTarget{refusal: refusal}
+			c := target.start(t)
+			if kind := send(t, c, "1"); kind != fault.KindTargetShed {
+				t.Fatalf("first request: kind %s", kind)
+			}
+			kind := send(t, c, "2")
+			if kind.Info().Outcome == fault.OutcomeNotRun && target.hasRun() {
+				t.Errorf("second request has run, and its kind is %s", kind)
+			}
+		})
+	}
+}
+
+// TestLateCopyOfRefusedProbeIsNotTakenForTheNextResponse has the target refuse a probe:
+// probes share the connections with requests.
+func TestLateCopyOfRefusedProbeIsNotTakenForTheNextResponse(t *testing.T) {
+	for _, refusal := range []string{refusalWithoutID, misdirected} {
+		target := &repeatingTarget{refusal: refusal}
+		c := target.start(t)
+		if c.Probe(t.Context()).Healthy {
+			t.Fatal("a refused probe counts as healthy")
+		}
+		if kind := send(t, c, "1"); kind.Info().Outcome == fault.OutcomeNotRun && target.hasRun() {
+			t.Errorf("the request after the probe has run, and its kind is %s", kind)
+		}
+	}
+}
--- a/pkg/peer/target/response.go
+++ b/pkg/peer/target/response.go
@@ -32,12 +32,13 @@
 func (c *Client) classifyResponse(resp *upstream.Response, id string) (*Response, error) {
 	dialect := &c.dialect
 	out := &Response{Response: resp, Load: parseLoad(resp.Header, dialect), Notice: c.parseNotice(resp.StatusCode, resp.Header)}
-	notRun := dialect.NotRun != "" && resp.Header.Get(dialect.NotRun) != ""
+	notRun := c.statesNotRun(resp.Header)
 	if reason := c.mismatchReason(resp, id, notRun); reason != "" {
 		resp.SuspendReuse()
 		resp.Close()
 		return &Response{}, fault.New(fault.KindTargetGarbage, "target %s: %s", c.name, reason)
 	}
+	c.preventReuseAfterRefusal(resp)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && dialect.ExpectTarget != "":
 		resp.Close()
@@ -49,6 +50,21 @@
 	return out, nil
 }
 
+// statesNotRun reports whether a response header states that the request did not run.
+func (c *Client) statesNotRun(h http.Header) bool {
+	return c.dialect.NotRun != "" && h.Get(c.dialect.NotRun) != ""
+}
+
+// preventReuseAfterRefusal has the connection closed after a refusal that does not name
+// its request. A second copy of it, sent late, could not be told from the refusal of the
+// next request on the connection, which may have run.
+func (c *Client) preventReuseAfterRefusal(resp *upstream.Response) {
+	named := c.dialect.EchoesRequestID && resp.Header.Get(c.dialect.RequestID) != ""
+	if !named && (resp.StatusCode == http.StatusMisdirectedRequest || c.statesNotRun(resp.Header)) {
+		resp.PreventReuse()
+	}
+}
+
 // mismatchReason returns why resp is not the target's response to the request with
 // the given id, or "" if it is.
 func (c *Client) mismatchReason(resp *upstream.Response, id string, notRun bool) string {
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -217,6 +217,9 @@
 	})
 }
 
+// PreventReuse has the connection closed when the exchange ends.
+func (resp *Response) PreventReuse() { resp.Response.Close = true }
+
 // SuspendReuse suspends the reuse of all connections to the server for
 // Options.ReuseSuspension, because its response does not match the request.
 func (resp *Response) SuspendReuse() {
