Relay no refusal status that the target does not vouch for

The dialect says whether statuses are a promise; the native one states the outcome in a field of its own, and relays as before.

--- a/pkg/peer/target/refusal_test.go
+++ b/pkg/peer/target/refusal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -167,3 +168,29 @@
 		}
 	}
 }
+
+// TestRefusalStatusWithoutStatementIsNotRelayed guards against callers that are told "not run"
+// by the status of a target that has run the request and does not state otherwise.
+func TestRefusalStatusWithoutStatementIsNotRelayed(t *testing.T) {
+	dialect := noticeDialect
+	dialect.RefusalStatuses = true
+	for status, want := range map[int]fault.Kind{
+		http.StatusRequestTimeout:      fault.KindTargetGarbage,
+		http.StatusTooManyRequests:     fault.KindTargetGarbage,
+		http.StatusServiceUnavailable:  fault.KindTargetGarbage,
+		http.StatusInternalServerError: fault.KindNone,
+		http.StatusGatewayTimeout:      fault.KindNone,
+		http.StatusNotFound:            fault.KindNone,
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.WriteHeader(status)
+		}))
+		c := New(upstream.NewDialer(upstream.Options{}), Options{Name: "t1", Address: s.Listener.Addr().String(), MaxConnections: 1, Dialect: dialect})
+		if kind := send(t, c, "1"); kind != want {
+			t.Errorf("status %d: kind %s, want %s", status, kind, want)
+		}
+		c.Close()
+		s.Close()
+	}
+}
--- a/pkg/peer/target/response.go
+++ b/pkg/peer/target/response.go
@@ -46,6 +46,10 @@
 	case notRun:
 		resp.Close()
 		return &Response{Notice: out.Notice, Load: out.Load}, fault.New(fault.KindTargetShed, "target %s refused the request without running it", c.name)
+	case dialect.RefusalStatuses && wire.IsRefusalStatus(resp.StatusCode):
+		// Relayed, the status would tell the caller more than the target has stated.
+		resp.Close()
+		return &Response{Notice: out.Notice, Load: out.Load}, fault.New(fault.KindTargetGarbage, "target %s responded with status %d and does not state that it did not run the request", c.name, resp.StatusCode)
 	}
 	return out, nil
 }
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -17,6 +17,9 @@
 	ExpectTarget string
 	// NotRun is set on responses of a target that did not run the request.
 	NotRun string
+	// RefusalStatuses states that callers take the statuses 408, 421, 429 and 503 for
+	// the statement that the request did not run and never will.
+	RefusalStatuses bool
 	// Leaving is "true" or "1" on responses of a target that is leaving.
 	Leaving string
 	// RateLimit is set on the responses of a target that limits its load. It holds
