Relay no trailer field with an invalid name

Found while reading the change: a target's trailer field with a space in its name reached callers if it, or another one, was announced; callers may fail to read what follows. Such fields, and names that may not stand in a trailer (Content-Length), are neither announced nor relayed. The check of heads uses the same library function for names.

--- a/pkg/node/malformedhead_test.go
+++ b/pkg/node/malformedhead_test.go
@@ -81,26 +81,31 @@
 }
 
 // TestInvalidTrailerFieldIsNotRelayed has a target send a trailer field whose name has a
-// space.
+// space, announced or beside one that is announced.
 func TestInvalidTrailerFieldIsNotRelayed(t *testing.T) {
-	inst := startInstance(t, "a-1", "osrednja-a")
-	response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nOdd Name: 1\r\nSum: 7\r\n\r\n"
-	inst.run(t, oneTarget(startRaw(t, func(c net.Conn, br *bufio.Reader) {
-		for {
-			if _, ok := readRequest(br); !ok {
-				return
+	for _, announced := range []string{"", "Trailer: Sum\r\n", "Trailer: Odd Name, Sum\r\n"} {
+		response := "HTTP/1.1 200 OK\r\n" + announced + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nOdd Name: 1\r\nSum: 7\r\n\r\n"
+		inst := startInstance(t, "a-1", "osrednja-a")
+		inst.run(t, oneTarget(startRaw(t, func(c net.Conn, br *bufio.Reader) {
+			for {
+				if _, ok := readRequest(br); !ok {
+					return
+				}
+				io.WriteString(c, response)
 			}
-			io.WriteString(c, response)
+		}), "osrednja-a"))
+		c, err := net.Dial("tcp", inst.self.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "GET /feedlog HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		got, _ := io.ReadAll(c)
+		c.Close()
+		if strings.Contains(string(got), "Odd Name") {
+			t.Errorf("%q: the caller got %q", announced, got)
+		}
+		if announced != "" && !strings.Contains(string(got), "Sum: 7") {
+			t.Errorf("%q: the caller got no sum: %q", announced, got)
 		}
-	}), "osrednja-a"))
-	c, err := net.Dial("tcp", inst.self.CallerAddress)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	io.WriteString(c, "GET /feedlog HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-	got, _ := io.ReadAll(c)
-	if strings.Contains(string(got), "Odd Name") {
-		t.Errorf("the caller got %q", got)
 	}
 }
--- a/pkg/peer/caller/relay.go
+++ b/pkg/peer/caller/relay.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 )
 
@@ -116,7 +118,9 @@
 		h["Content-Type"] = nil
 	}
 	for k := range head.Trailer {
-		h.Add("Trailer", k)
+		if isTrailerField(k) {
+			h.Add("Trailer", k)
+		}
 	}
 	r.w.WriteHeader(head.Status)
 }
@@ -167,11 +171,16 @@
 	}
 }
 
+// isTrailerField reports whether field is a valid name that may stand in a trailer.
+func isTrailerField(field string) bool {
+	return httpguts.ValidHeaderFieldName(field) && httpguts.ValidTrailerHeader(field)
+}
+
 // writeTrailer writes the trailer fields, without reserved ones.
 func (r *ResponseRelay) writeTrailer(t http.Header) {
 	h := r.w.Header()
 	for k, vs := range t {
-		if !isReservedField(k) {
+		if !isReservedField(k) && isTrailerField(k) {
 			h[http.TrailerPrefix+k] = vs
 		}
 	}
--- a/pkg/peer/upstream/head.go
+++ b/pkg/peer/upstream/head.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
+
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
@@ -22,7 +23,7 @@
 		return fmt.Errorf("response has the invalid status %q", resp.Status)
 	}
 	for name := range resp.Header {
-		if strings.Contains(name, " ") {
+		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("response has the invalid field name %q", name)
 		}
 	}
