Relay no interim response that names another request

The id identifies a response, so the attempt now fails as target-garbage, as with a final response to another request.

TestInterimResponseToAnotherRequestIsNotRelayed failed before. An interim response without an id is still relayed: nothing tells to which request it belongs.

--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -59,10 +59,7 @@
 	if !x.prepareBody() {
 		return
 	}
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-		return x.relay.WriteInterim(code, h)
-	}}
-	x.ctx = httptrace.WithClientTrace(x.ctx, trace)
+	x.ctx = httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{Got1xxResponse: x.relayInterim})
 	for {
 		d := x.decide()
 		x.diagnostics = d.Diagnostics
@@ -82,6 +79,18 @@
 	}
 }
 
+// errForeignInterim is the error of an attempt that received an interim response to another
+// request.
+var errForeignInterim = fault.New(fault.KindTargetGarbage, "interim response names another request")
+
+// relayInterim relays an interim response, unless it names another request.
+func (x *exchange) relayInterim(code int, h textproto.MIMEHeader) error {
+	if x.node.dialect.NamesAnotherRequest(http.Header(h), x.id) {
+		return errForeignInterim
+	}
+	return x.relay.WriteInterim(code, h)
+}
+
 // attemptRefusal returns the refusal for a request whose last attempt ended with
 // err.
 func (x *exchange) attemptRefusal(err error) caller.Refusal {
--- a/pkg/node/malformedhead_test.go
+++ b/pkg/node/malformedhead_test.go
@@ -109,3 +109,19 @@
 		}
 	}
 }
+
+// TestInterimResponseToAnotherRequestIsNotRelayed has a target send an interim response that
+// names an earlier request, late, in front of its sound response.
+func TestInterimResponseToAnotherRequestIsNotRelayed(t *testing.T) {
+	for id, status := range map[string]int{"other": 502, "this": 103} {
+		inst := startInstance(t, "a-1", "osrednja-a")
+		inst.settings.Probe.Interval = settings.Duration(time.Hour)
+		inst.dialect.RequestID, inst.dialect.OpaqueIDs, inst.dialect.EchoesRequestID = "Id", true, true
+		bad := "HTTP/1.1 103 Early Hints\r\nId: " + id + "\r\n\r\n"
+		inst.run(t, oneTarget(startTargetWithBadResponse(t, bad), "osrednja-a"))
+		resp := sendRaw(t, inst, "POST /feedlog/bad HTTP/1.1\r\nHost: x\r\nId: this\r\nContent-Length: 0\r\n\r\n", false)
+		if resp.StatusCode != status {
+			t.Errorf("id %s: status %d, header %v", id, resp.StatusCode, resp.Header)
+		}
+	}
+}
--- a/pkg/wire/dialect.go
+++ b/pkg/wire/dialect.go
@@ -1,5 +1,7 @@
 package wire
 
+import "net/http"
+
 // Dialect holds the header field names and conventions between an instance and
 // its callers and targets that differ from platform to platform. An empty name
 // disables the field.
@@ -51,6 +53,16 @@
 	NoContentEncoding bool
 }
 
+// NamesAnotherRequest reports whether the header of a response names another request than the
+// one with the given id.
+func (d *Dialect) NamesAnotherRequest(h http.Header, id string) bool {
+	if !d.EchoesRequestID || id == "" {
+		return false
+	}
+	got := h.Get(d.RequestID)
+	return got != "" && got != id
+}
+
 // NativeDialect returns the dialect with the system's own header fields, which is the
 // default for platforms without a dialect.
 func NativeDialect() Dialect {
