One server of raw connections for all tests

The server whose bytes a test reads and writes itself stood in pkg/node, and in parts in the new tests of pkg/peer/target and pkg/peer/upstream. It is test/rawserver now.

--- a/pkg/node/endlessbody_test.go
+++ b/pkg/node/endlessbody_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // endlessTarget is a target whose response to /feedlog/endless never ends. It
@@ -29,7 +30,7 @@
 
 func (e *endlessTarget) serve(c net.Conn, br *bufio.Reader) {
 	for {
-		r, ok := readRequest(br)
+		r, ok := rawserver.ReadRequest(br)
 		if !ok {
 			return
 		}
@@ -139,7 +140,7 @@
 func TestEndlessBodyEndsByTheDeadline(t *testing.T) {
 	forEachEndlessBody(t, func(t *testing.T, e *endlessTarget) {
 		inst := startInstance(t, "a-1", "osrednja-a")
-		inst.run(t, oneTarget(startRaw(t, e.serve), "osrednja-a"))
+		inst.run(t, oneTarget(rawserver.Start(t, e.serve), "osrednja-a"))
 		checkEndless(t, inst, e, endlessRequest("1.1"))
 		checkServing(t, inst)
 	})
@@ -150,7 +151,7 @@
 func TestEndlessBodyIsNotCompleteForHTTP10(t *testing.T) {
 	forEachEndlessBody(t, func(t *testing.T, e *endlessTarget) {
 		inst := startInstance(t, "a-1", "osrednja-a")
-		inst.run(t, oneTarget(startRaw(t, e.serve), "osrednja-a"))
+		inst.run(t, oneTarget(rawserver.Start(t, e.serve), "osrednja-a"))
 		checkEndless(t, inst, e, endlessRequest("1.0"))
 	})
 }
@@ -158,7 +159,7 @@
 func TestForwardedEndlessBodyEndsByTheDeadline(t *testing.T) {
 	forEachEndlessBody(t, func(t *testing.T, e *endlessTarget) {
 		a, b := startInstance(t, "a-1", "osrednja-a"), startInstance(t, "b-1", "osrednja-b")
-		tables := oneTarget(startRaw(t, e.serve), "osrednja-b")
+		tables := oneTarget(rawserver.Start(t, e.serve), "osrednja-b")
 		a.run(t, tables, a.self, b.self)
 		b.run(t, tables, a.self, b.self)
 		checkEndless(t, a, e, endlessRequest("1.1"))
@@ -170,7 +171,7 @@
 func TestRecordedEndlessBodyEndsByTheDeadline(t *testing.T) {
 	forEachEndlessBody(t, func(t *testing.T, e *endlessTarget) {
 		inst := startInstance(t, "a-1", "osrednja-a")
-		inst.run(t, oneTarget(startRaw(t, e.serve), "osrednja-a"))
+		inst.run(t, oneTarget(rawserver.Start(t, e.serve), "osrednja-a"))
 		id := wire.HeaderRequestID + ": " + orderID(t, inst, "endless") + "\r\n"
 		checkEndless(t, inst, e, strings.Replace(endlessRequest("1.1"), "Host: x\r\n", "Host: x\r\n"+id, 1))
 	})
@@ -181,7 +182,7 @@
 func TestEndlessBodiesEjectTheirTarget(t *testing.T) {
 	forEachEndlessBody(t, func(t *testing.T, e *endlessTarget) {
 		inst := startInstance(t, "a-1", "osrednja-a")
-		inst.run(t, twoTargets(startRaw(t, e.serve), startTarget(t, echo)))
+		inst.run(t, twoTargets(rawserver.Start(t, e.serve), startTarget(t, echo)))
 		const maxRequests = 100 // some of them go to the other target
 		for range maxRequests {
 			readFromEither(t, inst)
--- a/pkg/node/forward_test.go
+++ b/pkg/node/forward_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // startWithHandler runs one instance with one target, which serves h.
@@ -267,7 +268,7 @@
 	target := func(runs chan<- string) func(net.Conn, *bufio.Reader) {
 		return func(c net.Conn, br *bufio.Reader) {
 			for {
-				r, ok := readRequest(br)
+				r, ok := rawserver.ReadRequest(br)
 				if !ok {
 					return
 				}
@@ -300,7 +301,7 @@
 	}
 	t.Run("through an instance", func(t *testing.T) {
 		runs := make(chan string, 16)
-		tables := oneTarget(startRaw(t, target(runs)), "osrednja-a")
+		tables := oneTarget(rawserver.Start(t, target(runs)), "osrednja-a")
 		tables.Routes[0].Idempotency = table.IdempotentNever
 		inst := startInstance(t, "a-1", "osrednja-a")
 		inst.run(t, tables)
@@ -311,7 +312,7 @@
 	})
 	t.Run("http.Transport sends it again", func(t *testing.T) {
 		runs := make(chan string, 16)
-		order(t, "http://"+startRaw(t, target(runs)))
+		order(t, "http://"+rawserver.Start(t, target(runs)))
 		if n := count(runs); n < 2 {
 			t.Errorf("the order ran %d times with http.Transport, want more than 1; the test no longer reproduces the fault that it guards against", n)
 		}
--- a/pkg/node/hedge_test.go
+++ b/pkg/node/hedge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // stalledFirst is the handler of two targets. The first request that either receives
@@ -84,8 +85,8 @@
 	closed := ln.Addr().String()
 	ln.Close()
 	var seen atomic.Int32
-	lost := startRaw(t, func(_ net.Conn, br *bufio.Reader) {
-		if r, ok := readRequest(br); ok && r.URL.Path == "/feedlog" {
+	lost := rawserver.Start(t, func(_ net.Conn, br *bufio.Reader) {
+		if r, ok := rawserver.ReadRequest(br); ok && r.URL.Path == "/feedlog" {
 			seen.Add(1)
 		}
 	})
--- a/pkg/node/malformed_test.go
+++ b/pkg/node/malformed_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // sendRaw writes text to the caller listener of inst and returns the response. With
@@ -146,9 +147,9 @@
 		"truncated large body": {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nshort", "cut"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startRaw(t, func(w net.Conn, br *bufio.Reader) {
+			address := rawserver.Start(t, func(w net.Conn, br *bufio.Reader) {
 				for {
-					r, ok := readRequest(br)
+					r, ok := rawserver.ReadRequest(br)
 					switch {
 					case !ok:
 						return
@@ -192,9 +193,9 @@
 func TestSecondResponseIsDiscarded(t *testing.T) {
 	for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
 		sent := make(chan struct{}, 1)
-		address := startRaw(t, func(c net.Conn, br *bufio.Reader) {
+		address := rawserver.Start(t, func(c net.Conn, br *bufio.Reader) {
 			for {
-				r, ok := readRequest(br)
+				r, ok := rawserver.ReadRequest(br)
 				if !ok {
 					return
 				}
--- a/pkg/node/malformedhead_test.go
+++ b/pkg/node/malformedhead_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // soundResponse returns the response that a raw target sends to a request for path.
@@ -23,9 +24,9 @@
 // to requests for /feedlog/bad.
 func startTargetWithBadResponse(t *testing.T, bad string) (address string) {
 	t.Helper()
-	return startRaw(t, func(c net.Conn, br *bufio.Reader) {
+	return rawserver.Start(t, func(c net.Conn, br *bufio.Reader) {
 		for {
-			r, ok := readRequest(br)
+			r, ok := rawserver.ReadRequest(br)
 			if !ok {
 				return
 			}
@@ -86,9 +87,9 @@
 	for _, announced := range []string{"", "Trailer: Sum\r\n", "Trailer: Odd Name, Sum\r\n"} {
 		response := "HTTP/1.1 200 OK\r\n" + announced + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nOdd Name: 1\r\nSum: 7\r\n\r\n"
 		inst := startInstance(t, "a-1", "osrednja-a")
-		inst.run(t, oneTarget(startRaw(t, func(c net.Conn, br *bufio.Reader) {
+		inst.run(t, oneTarget(rawserver.Start(t, func(c net.Conn, br *bufio.Reader) {
 			for {
-				if _, ok := readRequest(br); !ok {
+				if _, ok := rawserver.ReadRequest(br); !ok {
 					return
 				}
 				io.WriteString(c, response)
--- a/pkg/node/queue_test.go
+++ b/pkg/node/queue_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // startOneSlot runs an instance with a target of one slot. The target sends the path
@@ -140,7 +141,7 @@
 func loseFirstRequest(runs *atomic.Int32) func(net.Conn, *bufio.Reader) {
 	return func(c net.Conn, br *bufio.Reader) {
 		for {
-			r, ok := readRequest(br)
+			r, ok := rawserver.ReadRequest(br)
 			if !ok {
 				return
 			}
@@ -169,7 +170,7 @@
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int32
 			inst := startInstance(t, "a-1", "osrednja-a")
-			inst.run(t, twoTargets(startRaw(t, loseFirstRequest(&runs)), startRaw(t, loseFirstRequest(&runs))))
+			inst.run(t, twoTargets(rawserver.Start(t, loseFirstRequest(&runs)), rawserver.Start(t, loseFirstRequest(&runs))))
 			r, _ := http.NewRequest("POST", inst.url()+"/feedlog", c.body)
 			r.Header.Set(wire.HeaderIdempotent, c.mark)
 			resp, err := http.DefaultClient.Do(r)
--- a/pkg/peer/target/refusal_test.go
+++ b/pkg/peer/target/refusal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 const (
@@ -28,32 +29,15 @@
 	mu      sync.Mutex
 	refused bool
 	runs    int
-	conns   []net.Conn
 }
 
-// serve accepts connections until ln is closed.
-func (r *repeatingTarget) serve(ln net.Listener, wg *sync.WaitGroup) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		r.mu.Lock()
-		r.conns = append(r.conns, c)
-		r.mu.Unlock()
-		wg.Go(func() { r.serveConn(c) })
-	}
-}
-
-func (r *repeatingTarget) serveConn(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	br := bufio.NewReader(c)
+// serve serves a connection.
+func (r *repeatingTarget) serve(c net.Conn, br *bufio.Reader) {
 	for late := ""; ; {
-		req, err := http.ReadRequest(br)
-		if err != nil {
+		req, ok := rawserver.ReadRequest(br)
+		if !ok {
 			return
 		}
-		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(c, late)
 		late = ""
 		if r.refuses() {
@@ -88,23 +72,8 @@
 // start serves r until the test ends and returns a client of it.
 func (r *repeatingTarget) start(t *testing.T) *Client {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var wg sync.WaitGroup
-	wg.Go(func() { r.serve(ln, &wg) })
-	c := New(upstream.NewDialer(upstream.Options{}), Options{Name: "t1", Address: ln.Addr().String(), MaxConnections: 4, Dialect: noticeDialect, HealthPath: "/health"})
-	t.Cleanup(func() {
-		c.Close()
-		_ = ln.Close()
-		r.mu.Lock()
-		for _, conn := range r.conns {
-			_ = conn.Close()
-		}
-		r.mu.Unlock()
-		wg.Wait()
-	})
+	c := New(upstream.NewDialer(upstream.Options{}), Options{Name: "t1", Address: rawserver.Start(t, r.serve), MaxConnections: 4, Dialect: noticeDialect, HealthPath: "/health"})
+	t.Cleanup(c.Close)
 	return c
 }
 
--- a/pkg/peer/upstream/cutresponse_test.go
+++ b/pkg/peer/upstream/cutresponse_test.go
@@ -7,32 +7,25 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/jacinthramp/jacinthramp/test/rawserver"
 )
 
 // receiveCut sends a request to a server that sends response and ends the connection, with a
 // reset if reset is set. It reports whether the response counts as a complete success.
 func receiveCut(t *testing.T, response string, reset bool) bool {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
 	served := make(chan struct{})
-	go func() {
+	address := rawserver.Start(t, func(c net.Conn, br *bufio.Reader) {
 		defer close(served)
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = rawserver.ReadRequest(br)
 		_, _ = io.WriteString(c, response)
 		if reset {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 		_ = c.Close()
-	}()
-	p := NewPool(NewDialer(Options{}), ln.Addr().String(), 1)
+	})
+	p := NewPool(NewDialer(Options{}), address, 1)
 	defer p.Close()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://x/", http.NoBody)
 	if err != nil {
