Observe how long a change had been in the store when it came into force

Nobody could say how late an instance learnt of a change, by which way, or when a request was sent to its target, so that the hypotheses on DRAIN could not be told apart.

A read of a feed carries the store's clock (NowS); package freshness turns it into local time by the response that travelled the shortest time. Each entry carries the longest time for which it may have been in the store, also when instances pass it on. The line "assembled tables" says source and change_age, "tables in force" change_age when the decisions use them, with the histogram change_age_seconds; "request" says sent_after.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -27,6 +27,9 @@
 // storedEntry is an entry with the times derived from it by the local clock.
 type storedEntry struct {
 	Entry
+	// writtenAfter is a time at which the store did not hold the entry yet; zero if none
+	// is known.
+	writtenAfter time.Time
 	// coldUntil is when the target is no longer cold.
 	coldUntil time.Time
 	// deferred takes the place of the entry at deferredUntil; nil without one.
@@ -43,9 +46,13 @@
 	s.deferred, s.deferredUntil = &e, at
 }
 
-// at returns the entry with the ColdRemaining that remains at now.
+// at returns the entry with its Age and the ColdRemaining that remains at now.
 func (s *storedEntry) at(now time.Time) Entry {
 	e := s.Entry
+	e.Age = 0
+	if !s.writtenAfter.IsZero() {
+		e.Age = now.Sub(s.writtenAfter)
+	}
 	if e.Target == nil || s.coldUntil.IsZero() {
 		return e
 	}
@@ -65,7 +72,10 @@
 	snapshotVersion Position
 	// changed is set when the entries have changed since the last call of Assemble.
 	changed bool
-	kept    Kept
+	// oldestChange is a time at which the store held none of the changes since the last
+	// call of TakeOldestChange; zero if none is known.
+	oldestChange time.Time
+	kept         Kept
 }
 
 // New returns an empty catalog.
@@ -152,6 +162,12 @@
 	if e.Removed && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
+	if e.Age > 0 {
+		stored.writtenAfter = now.Add(-e.Age)
+		if c.oldestChange.IsZero() || stored.writtenAfter.Before(c.oldestChange) {
+			c.oldestChange = stored.writtenAfter
+		}
+	}
 	if e.Target != nil && e.Target.ColdRemaining > 0 {
 		stored.coldUntil = now.Add(e.Target.ColdRemaining)
 	}
@@ -175,6 +191,13 @@
 	return e.Target == nil || e.Target.StartMillis == 0 || e.Target.StartMillis >= old.Target.StartMillis
 }
 
+// TakeOldestChange returns a time at which the store held none of the entries applied
+// since the last call, and whether one is known. Deferred entries don't count.
+func (c *Catalog) TakeOldestChange() (at time.Time, ok bool) {
+	at, c.oldestChange = c.oldestChange, time.Time{}
+	return at, !at.IsZero()
+}
+
 // ApplyDeferred applies the deferred entries that are due at now.
 func (c *Catalog) ApplyDeferred(now time.Time) {
 	for t := range c.entries {
@@ -193,7 +216,7 @@
 // EntriesAfter returns the entries with versions above p, ordered by topic and
 // version, for an instance that does not receive them from the store. A deferred
 // removal is returned with the delay that remains at now, and a target with the
-// ColdRemaining that remains at now.
+// ColdRemaining that remains at now. The Age of a deferred entry is not known.
 func (c *Catalog) EntriesAfter(now time.Time, p Position) []Entry {
 	var out []Entry
 	for t := range c.entries {
@@ -204,7 +227,7 @@
 			e := stored.at(now)
 			if d := stored.deferred; d != nil {
 				e = *d
-				e.Version = stored.Version
+				e.Version, e.Age = stored.Version, 0
 				if e.Removed {
 					e.RemovalDelay = max(1, stored.deferredUntil.Sub(now))
 				}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -278,3 +278,23 @@
 		t.Errorf("entries %v, want the removal of t1", entries)
 	}
 }
+
+// TestAgeOfEntriesGrowsUntilTheyArePassedOn covers how long a change has been in the store
+// by the time that it reaches an instance over others.
+func TestAgeOfEntriesGrowsUntilTheyArePassedOn(t *testing.T) {
+	reader, member := New(), New()
+	e := target("t1", 2)
+	e.Age = 100 * time.Millisecond
+	reader.Merge(at(0), Targets, []Entry{e}, 2)
+	passedOn := reader.EntriesAfter(at(time.Second), Position{})
+	if len(passedOn) != 1 || passedOn[0].Age != 1100*time.Millisecond {
+		t.Fatalf("passed on %+v, want one entry with an age of 1.1 s", passedOn)
+	}
+	member.MergeAll(at(3*time.Second), passedOn, reader.Position())
+	if since, ok := member.TakeOldestChange(); !ok || since != at(1900*time.Millisecond) {
+		t.Errorf("oldest change %v, %v; want 1.1 s before it was applied", since, ok)
+	}
+	if since, ok := member.TakeOldestChange(); ok {
+		t.Errorf("the same change at %v again", since)
+	}
+}
--- a/pkg/catalog/entry.go
+++ b/pkg/catalog/entry.go
@@ -40,6 +40,9 @@
 	// Version orders the entries of a topic, also over generations of the store; see
 	// VersionOf. A higher version replaces a lower one.
 	Version uint64 `json:"version"`
+	// Age is the longest time for which the entry may have been in the store; zero if
+	// that is not known.
+	Age time.Duration `json:"age,omitempty"`
 	// Removed marks the removal of the entry.
 	Removed bool `json:"removed,omitempty"`
 	// RemovalDelay is how much longer a removed target is used. It is set when the
--- a/pkg/cluster/announce_test.go
+++ b/pkg/cluster/announce_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
@@ -51,7 +53,7 @@
 	feeds := []platform.Feed{fakeFeed{newFakeFeedStore(), catalog.Targets, ids[0]}}
 	c := New(Config{
 		Self: platform.Instance{ID: ids[0], Cell: "osrednja"}, Timing: DefaultTiming(), Feeds: feeds,
-		Peers: peers, Rand: func() float64 { return 0 },
+		Peers: peers, Rand: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
 	for _, id := range ids[1:] {
 		c.view.ObserveMessage(time.Now(), member.Info{ID: id, Cell: "osrednja", PeerAddress: id})
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
@@ -56,6 +57,13 @@
 	confirmed [catalog.TopicCount]bool
 	// tablesVersion counts the tables assembled by this instance.
 	tablesVersion uint64
+	// clocks relate the platform's clock, as the responses of each topic state it, to
+	// the local one, and readAt is when the last one was formed.
+	clocks [catalog.TopicCount]freshness.StoreClock
+	readAt [catalog.TopicCount]time.Time
+	// unappliedSince is a time at which the store held none of the changes in the tables
+	// that TakeUnappliedSince has not reported yet; zero if there are none.
+	unappliedSince time.Time
 	// fetchQueue holds the instances to fetch missing entries from.
 	fetchQueue chan member.Info
 	// readerSeenAt is the last time at which a feed reader was known to be up to
@@ -147,7 +155,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	entries, version, err := f.Changes(callCtx, after, wait)
+	sent := time.Now()
+	read, err := f.Changes(callCtx, after, wait)
 	if fault.KindOf(err) == fault.KindHistoryGone {
 		c.mu.Lock()
 		c.discovery.synced[t] = false
@@ -161,18 +170,21 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.recordOutageEnd(now, t)
+	c.setAges(now, t, read.Entries)
+	c.discovery.readAt[t] = c.discovery.clocks[t].Observe(sent, now, read.StoreTime)
 	base := c.discovery.catalog.Position()
-	c.discovery.catalog.Merge(now, t, entries, version)
-	c.assembleTables()
+	c.discovery.catalog.Merge(now, t, read.Entries, read.Version)
+	c.assembleTables(sourceRead)
 	c.announceReadEntries(now, base)
-	return len(entries) > 0, nil
+	return len(read.Entries) > 0, nil
 }
 
 // readSnapshot reads all entries of f and replaces those in the catalog.
 func (c *Cluster) readSnapshot(ctx context.Context, f platform.Feed) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout)
 	defer cancel()
-	entries, version, err := f.Snapshot(callCtx)
+	sent := time.Now()
+	read, err := f.Snapshot(callCtx)
 	if err != nil {
 		return err
 	}
@@ -181,12 +193,30 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.recordOutageEnd(now, t)
-	c.discovery.catalog.Replace(now, t, entries, version)
+	c.setAges(now, t, read.Entries)
+	c.discovery.readAt[t] = c.discovery.clocks[t].Observe(sent, now, read.StoreTime)
+	c.discovery.catalog.Replace(now, t, read.Entries, read.Version)
 	c.discovery.synced[t] = true
-	c.assembleTables()
+	c.cfg.Log.Info("read a snapshot of the feed", zap.Stringer("topic", t), zap.Int("entries", len(read.Entries)), zap.Duration("took", now.Sub(sent)))
+	c.assembleTables(sourceRead)
 	return nil
 }
 
+// setAges sets the Age of entries read from t: the store held none of them when this
+// instance, or one that it follows, last read the feed. The caller holds mu.
+func (c *Cluster) setAges(now time.Time, t catalog.Topic, entries []catalog.Entry) {
+	since := c.discovery.readAt[t]
+	if c.discovery.readerSeenAt.After(since) {
+		since = c.discovery.readerSeenAt
+	}
+	if since.IsZero() {
+		return
+	}
+	for i := range entries {
+		entries[i].Age = now.Sub(since)
+	}
+}
+
 // recordOutageEnd notifies the catalog if a successful read ends an outage that
 // was long enough for entries to expire. Call it before the entries of that
 // read are merged. The caller holds mu.
@@ -219,10 +249,22 @@
 	}
 }
 
+// entrySource says how entries have reached this instance.
+type entrySource string
+
+// The sources of entries.
+const (
+	sourceRead         entrySource = "read"
+	sourceAnnouncement entrySource = "announcement"
+	sourceFetch        entrySource = "fetch"
+	// sourceDeferred: entries that were known before and have come into force.
+	sourceDeferred entrySource = "deferred"
+)
+
 // assembleTables puts the tables assembled from the catalog in force, if they
-// have changed. Without the targets' snapshot, the first tables must contain a
-// pool. The caller holds mu.
-func (c *Cluster) assembleTables() {
+// have changed because of entries from source. Without the targets' snapshot, the
+// first tables must contain a pool. The caller holds mu.
+func (c *Cluster) assembleTables(source entrySource) {
 	d := c.discovery
 	c.observeStoreGeneration(time.Now())
 	if kept, ok := d.catalog.TakeKept(); ok {
@@ -237,13 +279,39 @@
 	t.Version = d.tablesVersion
 	c.versions.Accept(t.Version)
 	c.tables.Store(t)
-	c.cfg.Log.Info("assembled tables from the catalog",
+	c.cfg.Log.Info("assembled tables from the catalog", zap.String("source", string(source)), zap.Duration("change_age", d.noteChangeAge()),
 		zap.Uint64("config", d.catalog.ConfigVersion()), zap.Uint64("version", t.Version),
 		zap.Uint64("operators", d.catalog.Position()[catalog.Operators]), zap.Uint64("targets", d.catalog.Position()[catalog.Targets]),
 		zap.Int("routes", len(t.Routes)), zap.Int("pools", len(t.Pools)))
 	signal(c.updates)
 }
 
+// noteChangeAge returns the longest time for which the changes in the tables just
+// assembled may have been in the store, or 0 if that is not known, and keeps it for
+// TakeUnappliedSince.
+func (d *discovery) noteChangeAge() time.Duration {
+	at, ok := d.catalog.TakeOldestChange()
+	if !ok {
+		return 0
+	}
+	if d.unappliedSince.IsZero() || at.Before(d.unappliedSince) {
+		d.unappliedSince = at
+	}
+	return time.Since(at)
+}
+
+// TakeUnappliedSince returns a time at which the store held none of the changes of the
+// tables since the last call, and whether there are any for which one is known.
+func (c *Cluster) TakeUnappliedSince() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.discovery == nil {
+		return time.Time{}, false
+	}
+	at, c.discovery.unappliedSince = c.discovery.unappliedSince, time.Time{}
+	return at, !at.IsZero()
+}
+
 // catalogLoop applies deferred removals that are due, fetches entries when a
 // feed lags behind other instances, and announces changes of the members.
 func (c *Cluster) catalogLoop(ctx context.Context) {
@@ -251,7 +319,7 @@
 		c.mu.Lock()
 		now := time.Now()
 		c.discovery.catalog.ApplyDeferred(now)
-		c.assembleTables()
+		c.assembleTables(sourceDeferred)
 		c.checkFeedLag(now)
 		c.propagateMemberChanges(now)
 		c.mu.Unlock()
@@ -346,7 +414,7 @@
 	base := c.discovery.catalog.Position()
 	c.discovery.catalog.MergeAll(now, r.Entries, r.Position)
 	c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)))
-	c.assembleTables()
+	c.assembleTables(sourceFetch)
 	if c.feedsUpToDate() {
 		// The other members rely on the announcements of the feed readers.
 		c.announceEntries(now, base)
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -16,6 +16,7 @@
 
 // fakeFeedStore holds what operators and targets have written to the feeds.
 type fakeFeedStore struct {
+	started time.Time
 	mu      sync.Mutex
 	version uint64
 	entries [catalog.TopicCount][]catalog.Entry
@@ -31,7 +32,8 @@
 }
 
 func newFakeFeedStore() *fakeFeedStore {
-	r := &fakeFeedStore{changed: make(chan struct{}), unresponsive: map[string]bool{}, reads: map[string]int{}}
+	// The clock of the store never reads zero.
+	r := &fakeFeedStore{started: time.Now().Add(-time.Hour), changed: make(chan struct{}), unresponsive: map[string]bool{}, reads: map[string]int{}}
 	r.write(catalog.Entry{Topic: catalog.Operators, Key: "config", Config: &catalog.Config{
 		Version:  1,
 		Routes:   []table.Route{{Name: "read", PathPrefix: "/", Pools: []table.PoolWeight{{Pool: "feedlog", Weight: 1}}}},
@@ -134,26 +136,31 @@
 	f.store.reads[f.id]++
 }
 
-func (f fakeFeed) Snapshot(ctx context.Context) ([]catalog.Entry, uint64, error) {
+func (f fakeFeed) Snapshot(ctx context.Context) (platform.FeedRead, error) {
 	f.countRead()
 	if err := f.waitWhileUnresponsive(ctx); err != nil {
-		return nil, 0, err
+		return platform.FeedRead{}, err
 	}
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	return f.store.entries[f.topic], f.store.version, nil
+	return f.store.response(f.store.entries[f.topic], f.store.version), nil
 }
 
-func (f fakeFeed) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error) {
+// response returns a response of the store at this moment.
+func (r *fakeFeedStore) response(entries []catalog.Entry, version uint64) platform.FeedRead {
+	return platform.FeedRead{Entries: slices.Clone(entries), Version: version, StoreTime: time.Since(r.started)}
+}
+
+func (f fakeFeed) Changes(ctx context.Context, after uint64, wait time.Duration) (platform.FeedRead, error) {
 	f.countRead()
 	for timeout := time.After(wait); ; {
 		if err := f.waitWhileUnresponsive(ctx); err != nil {
-			return nil, 0, err
+			return platform.FeedRead{}, err
 		}
 		f.store.mu.Lock()
 		if catalog.GenerationOf(after) < f.store.generation {
 			f.store.mu.Unlock()
-			return nil, 0, fault.New(fault.KindHistoryGone, "restored")
+			return platform.FeedRead{}, fault.New(fault.KindHistoryGone, "restored")
 		}
 		changed, version := f.store.changed, f.store.version
 		var out []catalog.Entry
@@ -164,14 +171,14 @@
 		}
 		f.store.mu.Unlock()
 		if len(out) > 0 {
-			return out, version, nil
+			return f.store.response(out, version), nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, version, f.waitWhileUnresponsive(ctx)
+			return f.store.response(nil, version), f.waitWhileUnresponsive(ctx)
 		case <-ctx.Done():
-			return nil, 0, fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "no response")
+			return platform.FeedRead{}, fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "no response")
 		}
 	}
 }
--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -56,6 +56,9 @@
 		return
 	}
 	d.reading[t] = true
+	if position := c.currentTree(now).Position(c.self.ID); d.synced[t] && position >= feedReaders {
+		c.cfg.Log.Info("reading the feed in place of the feed readers", zap.Stringer("topic", t), zap.Int("rank", position), zap.Duration("silent_for", now.Sub(d.readerSeenAt)))
+	}
 	if d.synced[t] && !d.readerSeenAt.IsZero() && now.Sub(d.readerSeenAt) > readerTimeout {
 		d.failingSince[t] = d.readerSeenAt
 		c.cfg.Log.Warn("feed unavailable; retrying", zap.Stringer("topic", t), zap.String("why", "no message received from a feed reader"),
@@ -147,6 +150,7 @@
 // before, and includes the members downstream of relays that have begun to fail.
 // The digest of the members is sent in one round.
 func (c *Cluster) sendAnnouncement(ctx context.Context, q *instance.AnnounceRequest) {
+	began := time.Now()
 	rounds := announceAttempts
 	if q.MembersDigest != 0 {
 		rounds = 1
@@ -165,6 +169,9 @@
 			return
 		}
 	}
+	if ctx.Err() == nil {
+		c.cfg.Log.Info("announcement not delivered to all members", zap.Int("unreached", len(unreached)), zap.Duration("took", time.Since(began)), zap.Int("queued", len(c.discovery.announceQueue)))
+	}
 }
 
 // announceToAll sends an announcement to the members at once and returns those
@@ -219,7 +226,7 @@
 		return
 	}
 	c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
-	c.assembleTables()
+	c.assembleTables(sourceAnnouncement)
 	c.forwardEntries(now, base)
 }
 
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -33,6 +34,9 @@
 	ctx     context.Context
 	start   time.Time
 	result  steer.Result
+	// sentAfter is the time from the arrival of the request until its first byte was
+	// about to be sent to the target, in nanoseconds; zero before.
+	sentAfter atomic.Int64
 
 	// response, head and prefix are set when the attempt received a response;
 	// err is set otherwise.
@@ -97,7 +101,7 @@
 	if _, limited := a.decision.RateLimit(); limited && a.x.node.metrics != nil {
 		a.x.node.metrics.CountRateLimitedRequest()
 	}
-	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !req.Idempotent, Withdrawn: a.decision.TargetLeaving}
+	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !req.Idempotent, Withdrawn: a.withdrawn}
 	resp, err := c.Send(a.ctx, a.httpReq, a.x.body, req.Deadline, options)
 	if resp != nil {
 		a.x.handleNotice(a.decision, resp.Notice)
@@ -116,6 +120,13 @@
 	return nil
 }
 
+// withdrawn reports whether the request must not be sent to its target any more. It is
+// called right before the first byte is sent.
+func (a *attempt) withdrawn() bool {
+	a.sentAfter.Store(a.x.node.now().Sub(a.x.req.Arrived).Nanoseconds())
+	return a.decision.TargetLeaving()
+}
+
 // hop forwards the request to an instance of the decided zone.
 func (a *attempt) hop() error {
 	c := a.x.pickPeer(a.decision.Zone)
--- a/pkg/node/cluster.go
+++ b/pkg/node/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
@@ -50,6 +51,14 @@
 	ReturnShares(ctx context.Context) error
 }
 
+// ChangeTimer is a Cluster that knows since when changes of the tables may have been in
+// the platform's store.
+type ChangeTimer interface {
+	// TakeUnappliedSince returns a time at which the store held none of the changes of
+	// the tables since the last call, and whether there are any for which one is known.
+	TakeUnappliedSince() (at time.Time, ok bool)
+}
+
 // Attacher is a Cluster that sets the shares of the decision core itself. A share
 // must be out of use before it is offered as a loan. Polling Shares can't ensure
 // that, since the core would get the change only later.
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
@@ -41,6 +42,9 @@
 	kind fault.Kind
 	// lastDecision is the decision of the last attempt.
 	lastDecision steer.Decision
+	// sentAfter is the time from the arrival of the request until the last attempt was
+	// sent to its target; zero if it was not.
+	sentAfter time.Duration
 	// targetLoad is the load that the target reported with the last attempt, or
 	// nil.
 	targetLoad *steer.TargetLoad
@@ -178,7 +182,7 @@
 	a, cleanup := x.make(d)
 	defer cleanup()
 	defer a.done()
-	x.lastDecision, x.targetLoad = a.decision, a.result.Load
+	x.lastDecision, x.targetLoad, x.sentAfter = a.decision, a.result.Load, time.Duration(a.sentAfter.Load())
 	if a.err == nil && a.result.Failed && x.mayRetry(errTargetFailed) {
 		a.result.Kind = fault.KindTargetFailed
 		return errTargetFailed
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -62,6 +62,9 @@
 		zap.String("pool", x.lastDecision.Pool), zap.String("zone", x.lastZone()), zap.String("target", x.lastDecision.Target),
 		zap.Uint64("tables", x.snapshot.tables.Version), zap.Duration("tables_age", x.node.now().Sub(x.snapshot.tablesSince)),
 	}
+	if x.sentAfter > 0 {
+		fields = append(fields, zap.Duration("sent_after", x.sentAfter))
+	}
 	if len(interim) > 0 {
 		fields = append(fields, zap.Ints("interim", interim))
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -186,6 +186,10 @@
 func (n *Node) applyUpdates() {
 	now := n.now()
 	old := n.snapshot.Load().tables.Version
+	var since time.Time
+	if timer, ok := n.cluster.(ChangeTimer); ok {
+		since, _ = timer.TakeUnappliedSince()
+	}
 	n.rebuildSnapshot()
 	members, complete := n.members()
 	n.core.SetInstances(now, members, complete)
@@ -200,8 +204,23 @@
 		n.core.ObserveZone(now, s)
 	}
 	if v := n.snapshot.Load().tables.Version; v != old {
-		n.log.Info("tables in force", zap.Uint64("version", v))
+		n.reportTables(v, since)
+	}
+}
+
+// reportTables logs that tables are in force and records for how long their changes may
+// have been in the platform's store: since is a time before them, or zero if none is
+// known.
+func (n *Node) reportTables(version uint64, since time.Time) {
+	fields := []zap.Field{zap.Uint64("version", version)}
+	if !since.IsZero() {
+		age := n.now().Sub(since)
+		fields = append(fields, zap.Duration("change_age", age))
+		if n.metrics != nil {
+			n.metrics.RecordChangeAge(age)
+		}
 	}
+	n.log.Info("tables in force", fields...)
 }
 
 // tickQueue delivers the decisions that have become due for queued requests, and
--- a/pkg/peer/platform/platform.go
+++ b/pkg/peer/platform/platform.go
@@ -60,14 +60,22 @@
 // platform, in the order in which they were accepted.
 type Feed interface {
 	Topic() catalog.Topic
-	// Snapshot reads all entries as of version. Errors:
-	// fault.KindStoreUnavailable.
-	Snapshot(ctx context.Context) (entries []catalog.Entry, version uint64, err error)
-	// Changes returns the entries above the version after and the version up to
-	// which they are complete. It returns as soon as there are any, or after wait.
-	// Errors: fault.KindHistoryGone if the caller must read a snapshot first, and
-	// fault.KindStoreUnavailable.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (entries []catalog.Entry, version uint64, err error)
+	// Snapshot reads all entries. Errors: fault.KindStoreUnavailable.
+	Snapshot(ctx context.Context) (FeedRead, error)
+	// Changes returns the entries above the version after. It returns as soon as
+	// there are any, or after wait. Errors: fault.KindHistoryGone if the caller must
+	// read a snapshot first, and fault.KindStoreUnavailable.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (FeedRead, error)
+}
+
+// FeedRead is the result of one read of a feed.
+type FeedRead struct {
+	Entries []catalog.Entry
+	// Version is the version up to which Entries are complete.
+	Version uint64
+	// StoreTime is the platform's steady clock when it responded, or zero if the
+	// response does not state it.
+	StoreTime time.Duration
 }
 
 // Instance is one entry of the instance registry.
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -133,6 +133,12 @@
 	m.scope.Tagged(map[string]string{"target": target}).Histogram("drain_seconds", drainBuckets).RecordDuration(took)
 }
 
+// RecordChangeAge records for how long a change of the tables may have been in the
+// platform's store when this instance put it in force.
+func (m *Metrics) RecordChangeAge(age time.Duration) {
+	m.scope.Histogram("change_age_seconds", latencyBuckets).RecordDuration(age)
+}
+
 // CountTargetNotice counts a notice that a target has sent with a response: that it
 // is leaving, that it requests a backoff, that its rate limit has changed or ended, or a
 // value that is malformed.
