Keep the age of the feeds' entries within the operators' bounds

What callers saw: requests reached targets that had left up to 8.4 s before, where 2.5 s (11 instances) to 4 s (195) are allowed, while the store refused the instances that read it for their region, though it answered the others.

Cause: the time from the store's word to the last instance was the sum of what each stage waits for by itself. A reader whose read hangs counted as up to date for 6 s, one that the store refused stayed the reader, the others began 2.5 s (behind relays 5 s) after the last sign of a reader, and took its silence for an outage of the store, which keeps removed targets for 2 s more. The class: no news is taken for good news, and nobody holds the whole time.

Change: the age of the copy decides, not an error. One reader a region proves with each answer, twice a second, how recent its copy is; five others hold a direct proof and take over after 1.1 s and 0.15 s each; a reader that the store refuses asks the other regions. Each member gets announcements independently of the others, and what follows a call in flight in one message. An outage is a time of 1.5 s in which nobody heard had an answer.

--- a/pkg/cluster/announce_test.go
+++ b/pkg/cluster/announce_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
@@ -61,6 +62,18 @@
 	return c, c.currentTree(time.Now())
 }
 
+// announceAndWait announces an entry and waits until all calls have ended.
+func (c *Cluster) announceAndWait(t *testing.T) {
+	c.mu.Lock()
+	base, now := c.catalogPosition(), time.Now()
+	c.discovery.catalog.Merge(now, catalog.Targets, []catalog.Entry{{Topic: catalog.Targets, Key: "t", Version: base[catalog.Targets] + 1}}, base[catalog.Targets]+1)
+	c.announceEntries(now, base)
+	c.mu.Unlock()
+	var calls conc.WaitGroup
+	c.sendAnnouncement(t.Context(), &calls, <-c.discovery.announceQueue)
+	calls.Wait()
+}
+
 // TestAnnouncementBypassesUnreachableRelay checks that an announcement reaches
 // the members downstream of an unreachable relay after the timeout of one call,
 // and at once while the relay is known to be unreachable.
@@ -72,7 +85,7 @@
 		for _, limit := range []time.Duration{c.timing.CallTimeout, 0} {
 			r.receivedAt, r.calls = map[string]time.Time{}, map[string]int{}
 			began := time.Now()
-			c.sendAnnouncement(t.Context(), &instance.AnnounceRequest{From: c.view.Self()})
+			c.announceAndWait(t)
 			expected := slices.Concat(tree.Watchers()[feedReaders:], tree.Relays()[1:], tree.Recipients(r.unreachable))
 			for _, id := range expected {
 				if r.calls[id] != 1 || r.receivedAt[id].Sub(began) > limit {
@@ -85,3 +98,34 @@
 		}
 	})
 }
+
+// TestUnresponsiveMemberDelaysNoAnnouncementToOthers leaves the calls to one member
+// unanswered while two announcements follow each other.
+func TestUnresponsiveMemberDelaysNoAnnouncementToOthers(t *testing.T) {
+	const gap = 10 * time.Millisecond
+	virtualtime.Test(t, func(t *testing.T) {
+		r := &recordingTransport{receivedAt: map[string]time.Time{}, calls: map[string]int{}}
+		c, tree := newAnnouncer(r)
+		r.unreachable = tree.Relays()[0]
+		ctx, cancel := context.WithCancel(t.Context())
+		var loop conc.WaitGroup
+		loop.Go(func() { c.announceEntriesLoop(ctx) })
+		for version := range uint64(2) {
+			c.mu.Lock()
+			base, now := c.catalogPosition(), time.Now()
+			c.discovery.catalog.Merge(now, catalog.Targets, []catalog.Entry{{Topic: catalog.Targets, Key: "t", Version: version + 1}}, version+1)
+			c.announceEntries(now, base)
+			c.mu.Unlock()
+			time.Sleep(gap)
+		}
+		r.mu.Lock()
+		for _, id := range slices.Concat(tree.Watchers()[feedReaders:], tree.Relays()[1:]) {
+			if r.calls[id] != 2 {
+				t.Errorf("%s received %d of 2 announcements while another member did not answer", id, r.calls[id])
+			}
+		}
+		r.mu.Unlock()
+		cancel()
+		loop.Wait()
+	})
+}
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,25 +16,34 @@
 )
 
 const (
-	// feedPollWait is how long the platform may hold a long poll of a feed that
-	// has no changes.
+	// feedPollWait is how long the platform may hold a long poll of the operators'
+	// feed that has no changes. The targets' feed is held for
+	// freshness.ConfirmInterval.
 	feedPollWait = 5 * time.Second
-	// feedPollGrace is added to feedPollWait for the timeout of a poll.
-	feedPollGrace = 1 * time.Second
+	// feedPollGrace is added to the wait of a poll for its timeout.
+	feedPollGrace = 700 * time.Millisecond
 	// feedReadSpacing is the pause after a read that returned changes, so that
 	// the next read returns several changes at once.
 	feedReadSpacing = 200 * time.Millisecond
+	// feedStartPause is the pause after the first read of an instance. Within it, most
+	// instances hear from the cell's feed reader and need no further read.
+	feedStartPause = 500 * time.Millisecond
 	// maxFeedLag is how much later than another instance this one may receive a
 	// change from its own read of a feed.
 	maxFeedLag = 400 * time.Millisecond
-	// feedProbeTimeout bounds a read of a feed while its reads fail.
+	// feedProbeTimeout bounds the first read of a new feed reader, and the reads of
+	// a feed while they fail.
 	feedProbeTimeout = 800 * time.Millisecond
-	// feedRetryMin and feedRetryMax bound the backoff after a failed read.
-	feedRetryMin = 100 * time.Millisecond
-	feedRetryMax = 800 * time.Millisecond
-	// minExpiryOutage is the shortest outage of the store in which the entries of
-	// live targets may expire because they could not be renewed.
-	minExpiryOutage = time.Second
+	// feedRetryMin and feedRetryMax bound the backoff after a failed read of an instance
+	// that others rely on. The store answers one of them first, so that the others'
+	// reads, whose backoff is longer by feedRetryFactor, would only be a load on it.
+	feedRetryMin    = 100 * time.Millisecond
+	feedRetryMax    = 800 * time.Millisecond
+	feedRetryFactor = 5
+	// minExpiryOutage is the shortest time without an answer of the store in which
+	// the entries of live targets may expire: shorter than that, no target misses
+	// two of its reports.
+	minExpiryOutage = 1500 * time.Millisecond
 	// catalogTickInterval is the interval between runs of the catalog's
 	// deferred work, see catalogLoop.
 	catalogTickInterval = 200 * time.Millisecond
@@ -52,24 +62,30 @@
 	failingSince [catalog.TopicCount]time.Time
 	// reading is set for each topic while this instance is to read its feed.
 	reading [catalog.TopicCount]bool
+	// tookOver is set while this instance reads in place of those before it in rank
+	// order.
+	tookOver bool
 	// confirmed is set for each topic once a read has succeeded since this
 	// instance began to read its feed.
 	confirmed [catalog.TopicCount]bool
 	// tablesVersion counts the tables assembled by this instance.
 	tablesVersion uint64
-	// clocks relate the platform's clock, as the responses of each topic state it, to
-	// the local one, and readAt is when the last one was formed.
+	// fetchQueue holds the instances to fetch missing entries from.
+	fetchQueue chan member.Info
+	// fresh is how recent the catalog is, and clocks relate the platform's clock, as
+	// the responses of each topic state it, to the local one. readAt is when the last
+	// response was formed.
+	fresh  freshness.Tracker
 	clocks [catalog.TopicCount]freshness.StoreClock
 	readAt [catalog.TopicCount]time.Time
 	// unappliedSince is a time at which the store held none of the changes in the tables
 	// that TakeUnappliedSince has not reported yet; zero if there are none.
 	unappliedSince time.Time
-	// fetchQueue holds the instances to fetch missing entries from.
-	fetchQueue chan member.Info
-	// readerSeenAt is the last time at which a feed reader was known to be up to
-	// date, from a heartbeat reply of the reader or of an instance that receives
-	// its entries.
-	readerSeenAt time.Time
+	// interruptPoll ends the long poll of each topic that is in flight; nil without
+	// one.
+	interruptPoll [catalog.TopicCount]context.CancelCauseFunc
+	// pullDue receives a value when a read for the whole cell has failed.
+	pullDue chan struct{}
 	// aheadMember is an instance that has reported the position aheadPosition,
 	// which this instance has not reached although it reads the feeds.
 	// aheadSince is when it first reported that; zero when there is none.
@@ -82,18 +98,23 @@
 	// digestAnnouncedAt.
 	announcedDigest   uint64
 	digestAnnouncedAt time.Time
-	// announceQueue holds the announcements to be sent.
-	announceQueue chan *instance.AnnounceRequest
+	// announceQueue holds the announcements to be sent, and deliveries the members to
+	// which entries are being sent, by id.
+	announceQueue chan announcement
+	deliveries    map[string]*delivery
 }
 
 func newDiscovery() *discovery {
-	return &discovery{catalog: catalog.New(), fetchQueue: make(chan member.Info, 1), announceQueue: make(chan *instance.AnnounceRequest, maxQueuedAnnouncements)}
+	return &discovery{
+		catalog: catalog.New(), fetchQueue: make(chan member.Info, 1), pullDue: make(chan struct{}, 1),
+		announceQueue: make(chan announcement, maxQueuedAnnouncements), deliveries: map[string]*delivery{},
+	}
 }
 
 // discoveryLoops returns the loops that read the feeds and exchange entries
 // with other instances.
 func (c *Cluster) discoveryLoops() []func(context.Context) {
-	loops := []func(context.Context){c.catalogLoop, c.catalogFetchLoop, c.entriesAnnounceLoop, c.retryLoop}
+	loops := []func(context.Context){c.catalogLoop, c.catalogFetchLoop, c.pullLoop, c.announceEntriesLoop, c.retryLoop}
 	for _, f := range c.cfg.Feeds {
 		loops = append(loops, func(ctx context.Context) { c.feedLoop(ctx, f) })
 	}
@@ -102,10 +123,10 @@
 
 // feedLoop reads one feed until ctx ends, while this instance is to read it.
 func (c *Cluster) feedLoop(ctx context.Context, f platform.Feed) {
-	retry := feedRetryMin
+	retry, started := feedRetryMin, false
 	for ctx.Err() == nil {
 		if !c.shouldReadFeed(f.Topic()) {
-			if !sleep(ctx, readerCheckInterval, nil) {
+			if !sleep(ctx, c.readerCheckDelay(), nil) {
 				return
 			}
 			continue
@@ -120,11 +141,14 @@
 		if changed {
 			pause = feedReadSpacing
 		}
-		if err != nil {
-			pause = c.jitter(retry)
-			retry = min(2*retry, feedRetryMax)
-		} else {
+		switch {
+		case err == nil && !started:
+			started, pause = true, c.jitter(feedStartPause)
+		case err == nil:
 			retry = feedRetryMin
+		case !errors.Is(err, errPollInterrupted):
+			pause = c.retryPause(retry)
+			retry = min(2*retry, feedRetryMax)
 		}
 		if !sleep(ctx, pause, nil) {
 			return
@@ -132,6 +156,21 @@
 	}
 }
 
+// retryPause returns the pause after a failed read, given that of an instance that others
+// rely on or that has heard from none.
+func (c *Cluster) retryPause(retry time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.discovery.fresh.HasPeer() && !c.feedRole(time.Now()).IsCandidate() {
+		retry *= feedRetryFactor
+	}
+	return c.jitter(retry)
+}
+
+// errPollInterrupted is the error of a long poll that was ended because a read of
+// another feed was left unanswered: its connection may be dead too.
+var errPollInterrupted = errors.New("long poll interrupted, another read of the store was left unanswered")
+
 // readFeed reads f once: a snapshot at first and when the platform no longer
 // has the history since the last read, else the changes. It reports whether it
 // read any entries.
@@ -139,24 +178,12 @@
 	t := f.Topic()
 	c.mu.Lock()
 	synced, after := c.discovery.synced[t], c.discovery.catalog.Position()[t]
-	failing, confirmed := !c.discovery.failingSince[t].IsZero(), c.discovery.confirmed[t]
 	c.mu.Unlock()
 	if !synced {
 		return true, c.readSnapshot(ctx, f)
 	}
-	wait, limit := feedPollWait, feedPollWait+feedPollGrace
-	switch {
-	case failing:
-		// An unresponsive store must not delay the next attempt.
-		wait, limit = 0, feedProbeTimeout
-	case !confirmed:
-		// A new feed reader must know soon whether it is up to date.
-		wait, limit = 0, feedPollGrace
-	}
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	sent := time.Now()
-	read, err := f.Changes(callCtx, after, wait)
+	read, err := c.pollChanges(ctx, f, after)
 	if fault.KindOf(err) == fault.KindHistoryGone {
 		c.mu.Lock()
 		c.discovery.synced[t] = false
@@ -166,17 +193,46 @@
 	if err != nil {
 		return false, err
 	}
+	c.applyRead(t, sent, &read, func(now time.Time) { c.discovery.catalog.Merge(now, t, read.Entries, read.Version) })
+	return len(read.Entries) > 0, nil
+}
+
+// pollChanges reads the changes of f after a version. The platform may hold the read
+// while there are none, unless this instance has just begun to read or its reads fail.
+func (c *Cluster) pollChanges(ctx context.Context, f platform.Feed, after uint64) (platform.FeedRead, error) {
+	t := f.Topic()
+	c.mu.Lock()
+	wait, limit := c.discovery.pollTimes(t)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	if wait > 0 {
+		c.discovery.interruptPoll[t] = interrupt
+	}
+	c.mu.Unlock()
+	read, err := f.Changes(ctx, after, wait)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	c.recordOutageEnd(now, t)
-	c.setAges(now, t, read.Entries)
-	c.discovery.readAt[t] = c.discovery.clocks[t].Observe(sent, now, read.StoreTime)
-	base := c.discovery.catalog.Position()
-	c.discovery.catalog.Merge(now, t, read.Entries, read.Version)
-	c.assembleTables(sourceRead)
-	c.announceReadEntries(now, base)
-	return len(read.Entries) > 0, nil
+	c.discovery.interruptPoll[t] = nil
+	if err != nil && errors.Is(context.Cause(ctx), errPollInterrupted) {
+		err = errPollInterrupted
+	}
+	return read, err
+}
+
+// pollTimes returns how long the platform may hold the next read of t, and the timeout
+// of that read.
+func (d *discovery) pollTimes(t catalog.Topic) (wait, limit time.Duration) {
+	switch {
+	case !d.failingSince[t].IsZero() || !d.confirmed[t]:
+		// An unresponsive store must not delay the next attempt, and a new feed
+		// reader must know soon whether it is up to date.
+		return 0, feedProbeTimeout
+	case t == catalog.Targets:
+		return freshness.ConfirmInterval, freshness.ConfirmInterval + feedPollGrace
+	}
+	return feedPollWait, feedPollWait + feedPollGrace
 }
 
 // readSnapshot reads all entries of f and replaces those in the catalog.
@@ -189,26 +245,39 @@
 		return err
 	}
 	t := f.Topic()
+	c.applyRead(t, sent, &read, func(now time.Time) {
+		c.discovery.catalog.Replace(now, t, read.Entries, read.Version)
+		c.discovery.synced[t] = true
+	})
+	c.cfg.Log.Info("read a snapshot of the feed", zap.Stringer("topic", t), zap.Int("entries", len(read.Entries)), zap.Duration("took", time.Since(sent)))
+	return nil
+}
+
+// applyRead applies a read of t that was sent at a time, by calling apply with mu held,
+// and announces what is new to the other members.
+func (c *Cluster) applyRead(t catalog.Topic, sent time.Time, read *platform.FeedRead, apply func(now time.Time)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	d := c.discovery
+	d.readAt[t] = d.clocks[t].Observe(sent, now, read.StoreTime)
 	c.recordOutageEnd(now, t)
-	c.setAges(now, t, read.Entries)
-	c.discovery.readAt[t] = c.discovery.clocks[t].Observe(sent, now, read.StoreTime)
-	c.discovery.catalog.Replace(now, t, read.Entries, read.Version)
-	c.discovery.synced[t] = true
-	c.cfg.Log.Info("read a snapshot of the feed", zap.Stringer("topic", t), zap.Int("entries", len(read.Entries)), zap.Duration("took", now.Sub(sent)))
+	d.setAges(now, read.Entries)
+	base := d.catalog.Position()
+	apply(now)
+	c.recordReadSuccess(t)
+	d.recordProof()
+	if base[t] > 0 {
+		// The members of a cell that has just started read a snapshot themselves.
+		c.announceRead(now, base)
+	}
 	c.assembleTables(sourceRead)
-	return nil
 }
 
-// setAges sets the Age of entries read from t: the store held none of them when this
-// instance, or one that it follows, last read the feed. The caller holds mu.
-func (c *Cluster) setAges(now time.Time, t catalog.Topic, entries []catalog.Entry) {
-	since := c.discovery.readAt[t]
-	if c.discovery.readerSeenAt.After(since) {
-		since = c.discovery.readerSeenAt
-	}
+// setAges sets the Age of entries that were read: the store held none of them when this
+// instance last had all entries.
+func (d *discovery) setAges(now time.Time, entries []catalog.Entry) {
+	since := d.fresh.CompleteAt()
 	if since.IsZero() {
 		return
 	}
@@ -217,35 +286,65 @@
 	}
 }
 
-// recordOutageEnd notifies the catalog if a successful read ends an outage that
-// was long enough for entries to expire. Call it before the entries of that
+// announceRead announces the entries after base if the other members rely on this
+// instance's reads, or that there are none. The caller holds mu.
+func (c *Cluster) announceRead(now time.Time, base catalog.Position) {
+	if c.actsAsReader(now) && !c.announceEntries(now, base) {
+		c.announceProof(now)
+	}
+}
+
+// recordOutageEnd notifies the catalog if a successful read of t ends an outage that was
+// long enough for entries to expire: neither this instance nor another one that it has
+// heard has had an answer of the store for that long. Call it before the entries of that
 // read are merged. The caller holds mu.
 func (c *Cluster) recordOutageEnd(now time.Time, t catalog.Topic) {
-	if since := c.discovery.failingSince[t]; !since.IsZero() && now.Sub(since) >= minExpiryOutage {
-		c.discovery.catalog.StoreRecovered(now, t)
+	d := c.discovery
+	resumed := !d.failingSince[t].IsZero() || !d.confirmed[t]
+	complete := d.fresh.CompleteAt()
+	if outage := d.readAt[t].Sub(complete); t == catalog.Targets && resumed && !complete.IsZero() && outage >= minExpiryOutage {
+		d.catalog.StoreRecovered(now, t)
+		c.cfg.Log.Warn("no answer of the store for a time in which entries expire; removed targets are kept for a while", zap.Duration("silent_for", outage))
 	}
 }
 
 // recordFeedRead records the result of a read of a feed that began at began,
-// and logs when reads begin to fail and when they succeed again. The start of
-// an outage is the time at which the unanswered read should have returned, not
-// the time at which it timed out.
+// and logs when reads begin to fail. A read that was left unanswered has the long
+// polls of the other feeds repeated, and the other cells asked.
 func (c *Cluster) recordFeedRead(t catalog.Topic, began time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since := c.discovery.failingSince[t]
-	c.discovery.confirmed[t] = c.discovery.confirmed[t] || err == nil
+	d := c.discovery
 	switch {
-	case err != nil && since.IsZero():
-		now, due := time.Now(), began.Add(feedPollWait)
-		if due.After(now) {
-			due = now
+	case err == nil:
+		c.recordReadSuccess(t)
+		return
+	case errors.Is(err, errPollInterrupted):
+		d.confirmed[t] = false
+		return
+	case d.failingSince[t].IsZero():
+		d.failingSince[t] = time.Now()
+		c.cfg.Log.Warn("feed unavailable; retrying", zap.Stringer("topic", t), zap.Error(err), zap.Uint64("position", d.catalog.Position()[t]))
+	}
+	signal(d.pullDue)
+	if time.Since(began) < feedProbeTimeout {
+		return
+	}
+	for other, interrupt := range d.interruptPoll {
+		if interrupt != nil && catalog.Topic(other) != t {
+			interrupt(errPollInterrupted)
 		}
-		c.discovery.failingSince[t] = due
-		c.cfg.Log.Warn("feed unavailable; retrying", zap.Stringer("topic", t), zap.Error(err), zap.Uint64("position", c.discovery.catalog.Position()[t]))
-	case err == nil && !since.IsZero():
-		c.discovery.failingSince[t] = time.Time{}
-		c.cfg.Log.Info("feed available again", zap.Stringer("topic", t), zap.Duration("after", time.Since(since)), zap.Uint64("position", c.discovery.catalog.Position()[t]))
+	}
+}
+
+// recordReadSuccess records that a read of t has succeeded, and logs if those before
+// failed. The caller holds mu.
+func (c *Cluster) recordReadSuccess(t catalog.Topic) {
+	d := c.discovery
+	d.confirmed[t] = true
+	if since := d.failingSince[t]; !since.IsZero() {
+		d.failingSince[t] = time.Time{}
+		c.cfg.Log.Info("feed available again", zap.Stringer("topic", t), zap.Duration("after", time.Since(since)), zap.Uint64("position", d.catalog.Position()[t]))
 	}
 }
 
@@ -350,14 +449,6 @@
 	}
 }
 
-// enqueueAnnouncement queues an announcement, or drops it if the queue is full.
-func (d *discovery) enqueueAnnouncement(q *instance.AnnounceRequest) {
-	select {
-	case d.announceQueue <- q:
-	default:
-	}
-}
-
 // catalogPosition returns the position up to which this instance has all
 // entries; zero without feeds. The caller holds mu.
 func (c *Cluster) catalogPosition() catalog.Position {
@@ -397,13 +488,13 @@
 	}
 }
 
-// fetchCatalog fetches the entries that from has and this instance lacks. As a
-// feed reader or relay, this instance announces them to the other members.
+// fetchCatalog fetches the entries that from has and this instance lacks. As an acting
+// feed reader or a relay, this instance announces them to the other members.
 func (c *Cluster) fetchCatalog(ctx context.Context, from member.Info) {
 	c.mu.Lock()
 	q := &instance.CatalogRequest{HavePosition: c.discovery.catalog.Position()}
 	c.mu.Unlock()
-	r := &instance.CatalogReply{}
+	sent, r := time.Now(), &instance.CatalogReply{}
 	if err := c.call(ctx, from, instance.MethodCatalog, q, r); err != nil {
 		c.cfg.Log.Warn("fetching catalog entries from another instance failed", zap.String("from", from.ID), zap.Error(err))
 		return
@@ -413,14 +504,18 @@
 	now := time.Now()
 	base := c.discovery.catalog.Position()
 	c.discovery.catalog.MergeAll(now, r.Entries, r.Position)
-	c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)))
-	c.assembleTables(sourceFetch)
-	if c.feedsUpToDate() {
-		// The other members rely on the announcements of the feed readers.
-		c.announceEntries(now, base)
-		return
+	c.observeFreshness(sent, r.FeedFreshness, r.Position, false)
+	if c.actsAsReader(now) {
+		// The other members rely on this instance, whether the store or another
+		// instance tells it.
+		c.announceRead(now, base)
+	} else {
+		c.forwardEntries(now, base)
+	}
+	if len(r.Entries) > 0 {
+		c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)))
+		c.assembleTables(sourceFetch)
 	}
-	c.forwardEntries(now, base)
 }
 
 // Catalog handles a request for the entries after the client's position. Error:
@@ -431,8 +526,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entries := c.discovery.catalog.EntriesAfter(time.Now(), q.HavePosition)
-	return &instance.CatalogReply{Entries: entries, Position: c.discovery.catalog.Position()}, nil
+	now := time.Now()
+	entries := c.discovery.catalog.EntriesAfter(now, q.HavePosition)
+	return &instance.CatalogReply{Entries: entries, Position: c.discovery.catalog.Position(), FeedFreshness: c.feedFreshness(now)}, nil
 }
 
 const (
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -27,13 +27,19 @@
 	// allUnresponsive is set if all reads do.
 	unresponsive    map[string]bool
 	allUnresponsive bool
+	// refused names the instances whose reads fail at once.
+	refused map[string]bool
+	// silent is set while reads of changes return none. lostVersion is the version up
+	// to which the history is lost then.
+	silent      bool
+	lostVersion uint64
 	// reads counts the reads of each instance.
 	reads map[string]int
 }
 
 func newFakeFeedStore() *fakeFeedStore {
 	// The clock of the store never reads zero.
-	r := &fakeFeedStore{started: time.Now().Add(-time.Hour), changed: make(chan struct{}), unresponsive: map[string]bool{}, reads: map[string]int{}}
+	r := &fakeFeedStore{started: time.Now().Add(-time.Hour), changed: make(chan struct{}), unresponsive: map[string]bool{}, refused: map[string]bool{}, reads: map[string]int{}}
 	r.write(catalog.Entry{Topic: catalog.Operators, Key: "config", Config: &catalog.Config{
 		Version:  1,
 		Routes:   []table.Route{{Name: "read", PathPrefix: "/", Pools: []table.PoolWeight{{Pool: "feedlog", Weight: 1}}}},
@@ -107,6 +113,40 @@
 	r.unresponsive[id] = unresponsive
 }
 
+// setRefused has the store refuse the reads of an instance from now on, also those that
+// it holds.
+func (r *fakeFeedStore) setRefused(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused[id] = true
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// drainTarget writes that a target is leaving.
+func (r *fakeFeedStore) drainTarget(id string) {
+	r.write(catalog.Entry{Topic: catalog.Targets, Key: id, Target: &catalog.Target{
+		ID: id, Service: "feedlog", Address: "10.0.0.1:80", Zone: "a", Region: "osrednja", Slots: 4, Draining: true,
+	}})
+}
+
+// setSilent has reads of changes return none from now on.
+func (r *fakeFeedStore) setSilent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = true
+}
+
+// loseHistory ends the silence: the history until now is lost, so that all reads from a
+// version before fail.
+func (r *fakeFeedStore) loseHistory() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent, r.lostVersion = false, r.version
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // fakeFeed is one instance's feed of one topic.
 type fakeFeed struct {
 	store *fakeFeedStore
@@ -117,11 +157,15 @@
 func (f fakeFeed) Topic() catalog.Topic { return f.topic }
 
 // waitWhileUnresponsive returns nil at once if the store responds to this instance.
-// Otherwise it waits until ctx ends and returns an error.
+// Otherwise it waits until ctx ends and returns an error, which it does at once if the
+// store refuses the instance.
 func (f fakeFeed) waitWhileUnresponsive(ctx context.Context) error {
 	f.store.mu.Lock()
-	unresponsive := f.store.allUnresponsive || f.store.unresponsive[f.id]
+	unresponsive, refused := f.store.allUnresponsive || f.store.unresponsive[f.id], f.store.refused[f.id]
 	f.store.mu.Unlock()
+	if refused {
+		return fault.New(fault.KindStoreUnavailable, "refused")
+	}
 	if !unresponsive {
 		return nil
 	}
@@ -129,6 +173,13 @@
 	return fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "silent")
 }
 
+// isSilent reports whether the store hides the changes.
+func (f fakeFeed) isSilent() bool {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.silent
+}
+
 // countRead counts one read.
 func (f fakeFeed) countRead() {
 	f.store.mu.Lock()
@@ -162,10 +213,14 @@
 			f.store.mu.Unlock()
 			return platform.FeedRead{}, fault.New(fault.KindHistoryGone, "restored")
 		}
+		if after < f.store.lostVersion {
+			f.store.mu.Unlock()
+			return platform.FeedRead{}, fault.New(fault.KindHistoryGone, "history lost")
+		}
 		changed, version := f.store.changed, f.store.version
 		var out []catalog.Entry
 		for _, e := range f.store.entries[f.topic] {
-			if e.Version > after {
+			if e.Version > after && !f.store.silent {
 				out = append(out, e)
 			}
 		}
@@ -176,6 +231,9 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			if f.isSilent() {
+				version = after
+			}
 			return f.store.response(nil, version), f.waitWhileUnresponsive(ctx)
 		case <-ctx.Done():
 			return platform.FeedRead{}, fault.Wrap(fault.KindStoreUnavailable, ctx.Err(), "no response")
--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -2,31 +2,30 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
+	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
 const (
-	// feedReaders is the number of instances of a cell that read the feeds: the
-	// first in rank order. They announce the entries to the other members.
-	feedReaders = 2
-	// readerCheckInterval is how often the other members check whether they
-	// have to read the feeds.
-	readerCheckInterval = 200 * time.Millisecond
-	// readerTimeout is the time without a sign of an up-to-date feed reader
-	// after which the other members read the feeds themselves.
-	readerTimeout = 2500 * time.Millisecond
-	// maxQueuedAnnouncements bounds the queue of announcements. The receivers
-	// fetch entries of a dropped announcement after their next heartbeat.
-	maxQueuedAnnouncements = 32
+	// feedReaders is the number of instances of a cell that read the feeds. It announces
+	// the entries to the other members.
+	feedReaders = 1
+	// maxReaderCheckInterval is the longest time between two checks whether this
+	// instance has to read the feeds: the rank order changes with the members.
+	maxReaderCheckInterval = 500 * time.Millisecond
+	// minReaderCheckInterval is the shortest one.
+	minReaderCheckInterval = 20 * time.Millisecond
+	// pullInterval is the time between two requests to the other cells for what the
+	// store has accepted, while this instance reads and the store does not answer it.
+	pullInterval = 400 * time.Millisecond
 )
 
 // shouldReadFeed reports whether this instance is to read the feed of t now: it
@@ -39,195 +38,196 @@
 		c.startReading(now, t)
 		return true
 	}
-	// Failures before this instance stopped reading must not count as an outage
-	// when it reads again.
+	// Failures before this instance stopped reading must not count when it reads
+	// again.
 	c.discovery.failingSince[t], c.discovery.reading[t] = time.Time{}, false
-	c.discovery.confirmed[t] = false
+	c.discovery.confirmed[t], c.discovery.tookOver = false, false
 	return false
 }
 
-// startReading records that this instance reads the feed of t from now on. If
-// it does so because no feed reader was up to date for readerTimeout, the store
-// may have been down since then, so an outage is assumed to have begun at that
-// time. The caller holds mu.
+// startReading records that this instance reads the feed of t from now on, and logs
+// if it takes over from another instance. The caller holds mu.
 func (c *Cluster) startReading(now time.Time, t catalog.Topic) {
 	d := c.discovery
 	if d.reading[t] {
 		return
 	}
 	d.reading[t] = true
-	if position := c.currentTree(now).Position(c.self.ID); d.synced[t] && position >= feedReaders {
-		c.cfg.Log.Info("reading the feed in place of the feed readers", zap.Stringer("topic", t), zap.Int("rank", position), zap.Duration("silent_for", now.Sub(d.readerSeenAt)))
-	}
-	if d.synced[t] && !d.readerSeenAt.IsZero() && now.Sub(d.readerSeenAt) > readerTimeout {
-		d.failingSince[t] = d.readerSeenAt
-		c.cfg.Log.Warn("feed unavailable; retrying", zap.Stringer("topic", t), zap.String("why", "no message received from a feed reader"),
-			zap.Duration("silent_for", now.Sub(d.readerSeenAt)), zap.Uint64("position", d.catalog.Position()[t]))
+	position := c.currentTree(now).Position(c.self.ID)
+	if d.synced[t] && d.fresh.HasPeer() && position != 0 {
+		d.tookOver = true
+		c.cfg.Log.Warn("reading the feed in place of the instances before this one, which are not up to date", zap.Stringer("topic", t),
+			zap.Int("rank", position), zap.Duration("staleness", now.Sub(d.fresh.CompleteAt())), zap.Uint64("position", d.catalog.Position()[t]))
 	}
 }
 
-// isFeedReader reports whether this instance has to read the feeds: it is one
-// of the first feedReaders in rank order, or no feed reader was up to date for
-// readerTimeout, or a longer time behind relays. The caller holds mu.
-func (c *Cluster) isFeedReader(now time.Time) bool {
+// feedRole returns this instance's part in reading the feeds. The caller holds mu.
+func (c *Cluster) feedRole(now time.Time) freshness.Role {
 	tree := c.currentTree(now)
-	timeout := readerTimeout
+	role := freshness.Role{Position: tree.Position(c.self.ID), TookOver: c.discovery.tookOver}
 	if tree.HasRelays() {
-		timeout += c.timing.Member.RelayAllowance
+		role.Allowance = c.timing.Member.RelayAllowance
 	}
-	return tree.Position(c.self.ID) < feedReaders || now.Sub(c.discovery.readerSeenAt) > timeout
+	return role
+}
+
+// isFeedReader reports whether this instance has to read the feeds; see
+// freshness.Tracker.ShouldRead. The caller holds mu.
+func (c *Cluster) isFeedReader(now time.Time) bool {
+	return c.discovery.fresh.ShouldRead(now, c.feedRole(now))
+}
+
+// actsAsReader reports whether the other members rely on this instance's reads: it is
+// the first of the cell or reads in place of those before it. The caller holds mu.
+func (c *Cluster) actsAsReader(now time.Time) bool {
+	role := c.feedRole(now)
+	return role.Position == 0 || c.discovery.fresh.HasPeer() && c.discovery.fresh.ShouldRead(now, role)
+}
+
+// readerCheckDelay returns the time until this instance checks again whether it has to
+// read the feeds.
+func (c *Cluster) readerCheckDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	next := c.discovery.fresh.NextCheck(now, c.feedRole(now))
+	return min(max(next, minReaderCheckInterval), maxReaderCheckInterval)
 }
 
 // feedsUpToDate reports whether this instance reads all feeds itself and the
 // reads succeed, the first of them included. The caller holds mu.
 func (c *Cluster) feedsUpToDate() bool {
-	d := c.discovery
-	if d == nil {
-		return false
-	}
+	return c.discovery != nil && c.discovery.readsSucceed() && c.isFeedReader(time.Now())
+}
+
+// readsSucceed reports whether the last read of each feed has succeeded since this
+// instance began to read it.
+func (d *discovery) readsSucceed() bool {
 	for t := range d.failingSince {
 		if !d.failingSince[t].IsZero() || !d.synced[t] || !d.confirmed[t] {
 			return false
 		}
 	}
-	return c.isFeedReader(time.Now())
+	return true
 }
 
-// feedFreshness reports whether this instance gets the entries of the feeds,
-// from its own reads or, in a cell with relays, from a feed reader. It also
-// returns the time since the reader was last known to be up to date. The caller
+// feedFreshness returns how recent this instance's copy of the feeds is. The caller
 // holds mu.
-func (c *Cluster) feedFreshness(now time.Time) (bool, time.Duration) {
-	if c.feedsUpToDate() {
-		return true, 0
+func (c *Cluster) feedFreshness(now time.Time) instance.FeedFreshness {
+	if c.discovery == nil || c.discovery.fresh.CompleteAt().IsZero() {
+		return instance.FeedFreshness{}
 	}
-	if c.discovery == nil || !c.currentTree(now).HasRelays() || c.discovery.readerSeenAt.IsZero() {
-		return false, 0
-	}
-	return true, now.Sub(c.discovery.readerSeenAt)
+	return instance.FeedFreshness{HasFeedReader: true, FeedReaderAge: max(0, now.Sub(c.discovery.fresh.CompleteAt()))}
 }
 
-// observeReader records that a feed reader was up to date at a time.
-func (d *discovery) observeReader(at time.Time) {
-	if at.After(d.readerSeenAt) {
-		d.readerSeenAt = at
+// observeFreshness records how recent the copy of another instance with the given
+// position was at a time. It counts only if this instance has all entries of that
+// copy. senior is set for a proof of a reader before this instance in rank order. The
+// caller holds mu.
+func (c *Cluster) observeFreshness(at time.Time, f instance.FeedFreshness, position catalog.Position, senior bool) {
+	if c.discovery == nil || !f.HasFeedReader || c.discovery.catalog.Position().Behind(position) {
+		return
+	}
+	if senior {
+		c.discovery.fresh.RecordSenior(at.Add(-f.FeedReaderAge))
+		return
 	}
+	c.discovery.fresh.RecordPeer(at.Add(-f.FeedReaderAge))
 }
 
-// announceReadEntries announces the entries after base if this instance is the
-// first of the cell, so that only one feed reader announces what all have read.
-// The caller holds mu.
-func (c *Cluster) announceReadEntries(now time.Time, base catalog.Position) {
-	if c.currentTree(now).Position(c.self.ID) == 0 {
-		c.announceEntries(now, base)
-	}
+// isSenior reports whether an instance is before this one in the rank order of the
+// cell. The caller holds mu.
+func (c *Cluster) isSenior(now time.Time, id string) bool {
+	tree := c.currentTree(now)
+	position, own := tree.Position(id), tree.Position(c.self.ID)
+	return position >= 0 && (own < 0 || position < own)
 }
 
-// announceEntries queues an announcement of the entries after base. The caller
-// holds mu.
-func (c *Cluster) announceEntries(now time.Time, base catalog.Position) {
-	entries := c.discovery.catalog.EntriesAfter(now, base)
-	if len(entries) == 0 {
-		return
+// recordProof records up to which time the reads have proven the copy complete. The
+// reads of the targets come often; those of the operators' topic, which the store
+// holds for longer, count as long as they do not fail.
+func (d *discovery) recordProof() {
+	if d.readsSucceed() {
+		d.fresh.RecordRead(d.readAt[catalog.Targets])
 	}
-	c.discovery.enqueueAnnouncement(&instance.AnnounceRequest{From: c.view.Self(), BasePosition: base, CatalogPosition: c.discovery.catalog.Position(), Entries: instance.NewEncodedEntries(entries)})
 }
 
-// entriesAnnounceLoop sends the queued announcements one after the other.
-func (c *Cluster) entriesAnnounceLoop(ctx context.Context) {
+// pullLoop requests the entries of the other cells while this instance reads for its
+// cell and the store does not answer it, because the store may answer them.
+func (c *Cluster) pullLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case q := <-c.discovery.announceQueue:
-			c.sendAnnouncement(ctx, q)
+		case <-c.discovery.pullDue:
 		}
-	}
-}
-
-// sendAnnouncement sends an announcement to all announceRecipients, in up to
-// announceAttempts rounds. A round repeats the calls that failed in the one
-// before, and includes the members downstream of relays that have begun to fail.
-// The digest of the members is sent in one round.
-func (c *Cluster) sendAnnouncement(ctx context.Context, q *instance.AnnounceRequest) {
-	began := time.Now()
-	rounds := announceAttempts
-	if q.MembersDigest != 0 {
-		rounds = 1
-	}
-	var unreached []member.Info
-	tried := map[string]bool{}
-	for range rounds {
-		for _, m := range c.announceRecipients() {
-			if !tried[m.ID] {
-				tried[m.ID] = true
-				unreached = append(unreached, m)
+		for sources := c.pullSources(); len(sources) > 0; sources = c.pullSources() {
+			c.pullCatalog(ctx, sources)
+			if !sleep(ctx, pullInterval, nil) {
+				return
 			}
 		}
-		unreached = c.announceToAll(ctx, unreached, q)
-		if len(unreached) == 0 {
-			return
-		}
-	}
-	if ctx.Err() == nil {
-		c.cfg.Log.Info("announcement not delivered to all members", zap.Int("unreached", len(unreached)), zap.Duration("took", time.Since(began)), zap.Int("queued", len(c.discovery.announceQueue)))
 	}
 }
 
-// announceToAll sends an announcement to the members at once and returns those
-// that were unavailable.
-func (c *Cluster) announceToAll(ctx context.Context, members []member.Info, q *instance.AnnounceRequest) []member.Info {
-	p := pool.NewWithResults[[]member.Info]().WithMaxGoroutines(maxConcurrentAnnouncements)
-	for _, m := range members {
-		p.Go(func() []member.Info {
-			err := c.call(ctx, m, instance.MethodAnnounce, q, &instance.AnnounceReply{})
-			if fault.KindOf(err) == fault.KindPeerUnavailable {
-				return []member.Info{m}
-			}
-			return nil
-		})
-	}
-	return slices.Concat(p.Wait()...)
-}
-
-// announceRecipients returns the members that this instance sends announcements
-// to: those downstream in the tree, past failing relays, except the feed readers
-// and failing members. Without relays, these include members that are not ranked,
-// such as leaving ones.
-func (c *Cluster) announceRecipients() []member.Info {
+// pullSources returns an instance of each other cell if this instance reads for its
+// cell and its reads fail.
+func (c *Cluster) pullSources() []member.Info {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	tree := c.currentTree(now)
-	// A timeout would delay the others; a failing member fetches the entries when
-	// it is reachable again.
-	recipients := tree.RecipientsBypassing(c.self.ID, c.view.Failing)
-	var to []member.Info
-	for _, m := range c.view.CellMembers(now, c.cell) {
-		position := tree.Position(m.ID)
-		unranked := position < 0 && !tree.HasRelays() && m.State != member.Suspect && !c.view.Failing(m.ID)
-		if unranked || position >= feedReaders && slices.Contains(recipients, m.ID) {
-			to = append(to, m.Info)
+	if !c.discovery.readsFail() || !c.actsAsReader(now) {
+		return nil
+	}
+	return c.pickCellContacts(now)
+}
+
+// readsFail reports whether the last read of any feed has failed.
+func (d *discovery) readsFail() bool {
+	for _, since := range d.failingSince {
+		if !since.IsZero() {
+			return true
 		}
 	}
-	return to
+	return false
+}
+
+// pullCatalog requests the entries that this instance lacks from several instances at
+// once.
+func (c *Cluster) pullCatalog(ctx context.Context, sources []member.Info) {
+	p := pool.New().WithMaxGoroutines(maxConcurrentAnnouncements)
+	for _, from := range sources {
+		p.Go(func() { c.fetchCatalog(ctx, from) })
+	}
+	p.Wait()
 }
 
+// isUnavailable reports whether err says that another instance could not be reached or
+// did not answer.
+func isUnavailable(err error) bool { return fault.KindOf(err) == fault.KindPeerUnavailable }
+
 // applyEntries merges announced entries if this instance has all entries before
-// them; else it arranges a fetch. A relay forwards them. The caller holds mu.
+// them; else it arranges a fetch. A relay forwards them first: the members downstream
+// must not wait until it has assembled its tables. The caller holds mu.
 func (c *Cluster) applyEntries(now time.Time, q *instance.AnnounceRequest) {
-	entries := q.Entries.List()
-	if c.discovery == nil || len(entries) == 0 {
+	if c.discovery == nil {
 		return
 	}
-	base := c.discovery.catalog.Position()
-	if base.Behind(q.BasePosition) {
-		c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
+	base, entries := c.discovery.catalog.Position(), q.Entries.List()
+	if len(entries) > 0 && !base.Behind(q.BasePosition) {
+		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
+	}
+	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
+	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, c.isSenior(now, q.From.ID))
+	if c.discovery.catalog.Position() == base {
 		return
 	}
-	c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
+	if base == q.BasePosition {
+		c.forwardAnnouncement(now, q)
+	} else {
+		c.forwardEntries(now, base)
+	}
 	c.assembleTables(sourceAnnouncement)
-	c.forwardEntries(now, base)
 }
 
 // forwardEntries announces the entries after base to the downstream members if
@@ -237,3 +237,15 @@
 		c.announceEntries(now, base)
 	}
 }
+
+// forwardAnnouncement is forwardEntries for the entries of an announcement, which are not
+// encoded again. The caller holds mu.
+func (c *Cluster) forwardAnnouncement(now time.Time, q *instance.AnnounceRequest) {
+	if !c.currentTree(now).IsRelay(c.self.ID) {
+		return
+	}
+	a := c.newAnnouncement(now)
+	a.request.BasePosition, a.request.Entries = q.BasePosition, q.Entries
+	a.to = c.announceRecipients(now)
+	c.enqueueAnnouncement(a)
+}
--- a/pkg/cluster/handler.go
+++ b/pkg/cluster/handler.go
@@ -53,9 +53,8 @@
 // heartbeatReply builds the reply to q. The caller holds mu.
 func (c *Cluster) heartbeatReply(now time.Time, q *instance.HeartbeatRequest) *instance.HeartbeatReply {
 	row := c.ledger.Row()
-	hasReader, age := c.feedFreshness(now)
 	r := &instance.HeartbeatReply{
-		CatalogPosition: c.catalogPosition(), HasFeedReader: hasReader, FeedReaderAge: age,
+		CatalogPosition: c.catalogPosition(), FeedFreshness: c.feedFreshness(now),
 		TablesVersion: c.versions.InForce(), RowVersion: row.Version, RowLayout: row.LayoutVersion, PoisonRecords: c.changedPoison(now),
 		LeavingTargets: c.leavingTargets(now, departure.Reply, q.LeavingTargets), RateLimits: c.rateLimits(now, q.RateLimits),
 	}
--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -164,14 +164,14 @@
 func (c *Cluster) sendHeartbeatTo(ctx context.Context, q *instance.HeartbeatRequest, to member.Info, wantZones bool) *receivedReply {
 	request := *q
 	request.ExpectedReceiver, request.WantZones = holderKeyOf(to), wantZones
-	r := &instance.HeartbeatReply{}
+	sent, r := time.Now(), &instance.HeartbeatReply{}
 	if err := c.call(ctx, to, instance.MethodHeartbeat, &request, r); err != nil || departure.Validate(r.LeavingTargets) != nil || ratelimit.Validate(r.RateLimits) != nil {
 		return nil
 	}
 	if r.From != nil {
 		to = *r.From
 	}
-	c.applyHeartbeatReply(to, r, !q.WantVerdict)
+	c.applyHeartbeatReply(to, sent, r, !q.WantVerdict)
 	return &receivedReply{from: to, reply: r}
 }
 
@@ -197,9 +197,10 @@
 	return q, c.receivers(now, tree)
 }
 
-// applyHeartbeatReply applies the reply of another instance. hasReports is set if the
-// reply reports when the members were last seen; otherwise it holds a verdict.
-func (c *Cluster) applyHeartbeatReply(from member.Info, r *instance.HeartbeatReply, hasReports bool) {
+// applyHeartbeatReply applies the reply of another instance to a heartbeat that was sent
+// at a time. hasReports is set if the reply reports when the members were last seen;
+// otherwise it holds a verdict.
+func (c *Cluster) applyHeartbeatReply(from member.Info, sent time.Time, r *instance.HeartbeatReply, hasReports bool) {
 	now := time.Now()
 	c.mu.Lock()
 	c.view.ObserveMessage(now, from)
@@ -219,11 +220,9 @@
 	c.mergeRateLimits(now, from.ID, r.RateLimits)
 	c.applyShares(now)
 	c.fetchTablesIfBehind(from, r.TablesVersion)
-	if c.discovery != nil && r.HasFeedReader {
-		c.discovery.observeReader(now.Add(-r.FeedReaderAge))
-	}
 	c.fullReportDue = c.fullReportDue || r.WantDownstream
 	c.fetchCatalogIfBehind(from, r.CatalogPosition)
+	c.observeFreshness(sent, r.FeedFreshness, r.CatalogPosition, false)
 	c.mu.Unlock()
 }
 
--- a/pkg/cluster/receivers.go
+++ b/pkg/cluster/receivers.go
@@ -6,7 +6,6 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/spread"
-	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
 // receivers are the members that a heartbeat is sent to.
@@ -194,5 +193,5 @@
 		return
 	}
 	d.announcedDigest, d.digestAnnouncedAt = digest, now
-	d.enqueueAnnouncement(&instance.AnnounceRequest{From: c.view.Self(), CatalogPosition: c.catalogPosition(), MembersDigest: digest})
+	c.announceDigest(now, digest)
 }
--- a/pkg/decision/freshness/storeclock_test.go
+++ b/pkg/decision/freshness/storeclock_test.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
-func at(d time.Duration) time.Time { return start.Add(d) }
-
 func TestStoreClockFollowsTheFastestResponse(t *testing.T) {
 	const zero = 7 * time.Second
 	var c StoreClock
--- a/pkg/decision/spread/tree.go
+++ b/pkg/decision/spread/tree.go
@@ -91,19 +91,36 @@
 	}
 }
 
-// RecipientsBypassing returns Recipients of id without the failing instances. Each
-// failing relay among them is replaced by the instances that report to it first.
-func (t Tree) RecipientsBypassing(id string, failing func(id string) bool) []string {
-	var ids []string
-	for _, recipient := range t.Recipients(id) {
+// ReaderRecipients returns the instances to which id announces what it reads from the
+// store for the whole cell: all without relays, otherwise the watchers and the relays
+// and, if id is a relay, the instances that report to it first.
+func (t Tree) ReaderRecipients(id string) []string {
+	if !t.HasRelays() {
+		return t.ranked
+	}
+	ids := append(slices.Clone(t.Watchers()), t.relays...)
+	if t.IsRelay(id) {
+		ids = append(ids, t.primaryDownstream(id)...)
+	}
+	return ids
+}
+
+// First returns the first n instances in rank order, or all if there are fewer.
+func (t Tree) First(n int) []string { return t.ranked[:min(n, len(t.ranked))] }
+
+// Bypassing returns ids without the failing instances. Each failing relay among them is
+// replaced by the instances that report to it first.
+func (t Tree) Bypassing(ids []string, failing func(id string) bool) []string {
+	var reachable []string
+	for _, id := range ids {
 		switch {
-		case !failing(recipient):
-			ids = append(ids, recipient)
-		case t.IsRelay(recipient):
-			ids = append(ids, t.primaryDownstream(recipient)...)
+		case !failing(id):
+			reachable = append(reachable, id)
+		case t.IsRelay(id):
+			reachable = append(reachable, t.primaryDownstream(id)...)
 		}
 	}
-	return slices.DeleteFunc(ids, failing)
+	return slices.DeleteFunc(reachable, failing)
 }
 
 // primaryDownstream returns the instances that prefer relay among their relays.
--- a/pkg/decision/spread/tree_test.go
+++ b/pkg/decision/spread/tree_test.go
@@ -55,10 +55,10 @@
 		failing := rapid.SliceOfDistinct(rapid.SampledFrom(tree.ranked), rapid.ID).Draw(t, "failing")
 		isFailing := func(id string) bool { return slices.Contains(failing, id) }
 		deliveries := map[string]int{}
-		for _, id := range tree.RecipientsBypassing(tree.ranked[0], isFailing) {
+		for _, id := range tree.Bypassing(tree.Recipients(tree.ranked[0]), isFailing) {
 			deliveries[id]++
 			if tree.IsRelay(id) {
-				for _, member := range tree.RecipientsBypassing(id, isFailing) {
+				for _, member := range tree.Bypassing(tree.Recipients(id), isFailing) {
 					deliveries[member]++
 				}
 			}
--- a/pkg/peer/instance/entries.go
+++ b/pkg/peer/instance/entries.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"encoding/json"
 	"sync"
 
@@ -13,7 +14,7 @@
 const minEntriesCompressSize = 4 << 10
 
 // EncodedEntries holds catalog entries that are sent to many instances. They are
-// encoded once for all messages: encoding a large configuration for each instance of
+// encoded once for all messages, and those received are kept as they came: encoding a large configuration for each instance of
 // a region would otherwise take all processor time of a small instance. Nil holds no
 // entries.
 type EncodedEntries struct {
@@ -61,6 +62,8 @@
 // MaxMessageBytes of JSON, fault.KindBadRequest for an invalid payload, and those of
 // the decoder.
 func (e *EncodedEntries) UnmarshalJSON(data []byte) error {
+	// An instance that forwards the entries sends them as they came.
+	e.once.Do(func() { e.encoded = bytes.Clone(data) })
 	if len(data) == 0 || data[0] != '"' {
 		return json.Unmarshal(data, &e.entries)
 	}
--- a/pkg/peer/instance/messages.go
+++ b/pkg/peer/instance/messages.go
@@ -70,6 +70,16 @@
 	RateLimits []ratelimit.Record `json:"limits,omitempty"`
 }
 
+// FeedFreshness states how recent an instance's copy of the platform's feeds is.
+type FeedFreshness struct {
+	// HasFeedReader is set once the instance has read the feeds, or has received the
+	// entries of an instance that has.
+	HasFeedReader bool `json:"following,omitempty"`
+	// FeedReaderAge is the time since the instance had all entries that the store had
+	// accepted.
+	FeedReaderAge time.Duration `json:"following_age,omitempty"`
+}
+
 // HeartbeatReply is the reply to a HeartbeatRequest.
 type HeartbeatReply struct {
 	// From is set if the receiver is not the sender's ExpectedReceiver, or is
@@ -77,12 +87,9 @@
 	From          *member.Info `json:"from,omitempty"`
 	TablesVersion uint64       `json:"tables"`
 	// CatalogPosition is the position up to which the receiver has applied the
-	// catalog. HasFeedReader is set if the receiver reads the platform's feeds
-	// itself, or receives from an instance that does; FeedReaderAge is the time
-	// since it last received from that instance.
+	// catalog.
 	CatalogPosition catalog.Position `json:"catalog,omitzero"`
-	HasFeedReader   bool             `json:"following,omitempty"`
-	FeedReaderAge   time.Duration    `json:"following_age,omitempty"`
+	FeedFreshness
 	// WantDownstream requests the reports that a relay has omitted from Downstream.
 	WantDownstream bool `json:"want_below,omitempty"`
 	// Row is set if its layout is newer than the one that the sender has seen.
@@ -139,10 +146,13 @@
 	// Step is the change from the previous version of the tables to TablesVersion.
 	// It is set only if it is small.
 	Step *tablestore.Step `json:"step,omitempty"`
-	// Entries are the changes of the catalog from BasePosition to CatalogPosition.
+	// Entries are the changes of the catalog from BasePosition to CatalogPosition. Without
+	// any, a feed reader proves to the instances that take over from it that its copy is
+	// complete.
 	BasePosition    catalog.Position `json:"base,omitzero"`
 	CatalogPosition catalog.Position `json:"catalog,omitzero"`
 	Entries         *EncodedEntries  `json:"entries,omitempty"`
+	FeedFreshness
 	// MembersDigest is the digest of the members that the sender, a watcher or
 	// relay, considers alive. It is set if they have just changed. A receiver
 	// with a different digest requests them with its next heartbeat.
@@ -225,6 +235,7 @@
 type CatalogReply struct {
 	Entries  []catalog.Entry  `json:"entries,omitempty"`
 	Position catalog.Position `json:"position"`
+	FeedFreshness
 }
 
 // Handler handles calls of other instances. Its methods must not block, since the
