Read the tables again when nobody shows that they are the newest

A reply now says how long ago its sender, or whoever told it, has read the head, and an instance that has had no such proof for 5 s reads within another 7.5 s, also when a longer wait has begun.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -50,7 +50,7 @@
 	summaries        atomic.Pointer[[]steer.ZoneSummary]
 	unreachableCells atomic.Pointer[[]string]
 
-	// mu guards the fields from core to startedAt, from cachedTree to
+	// mu guards the fields from core to headAt, from cachedTree to
 	// fullReportDue, and the contents of discovery. It is held for short
 	// computations only: never during I/O, and never while a request is handled.
 	mu                  sync.Mutex
@@ -73,6 +73,9 @@
 	// storeGeneration is the generation of the platform's store as far as known here.
 	storeGeneration uint64
 	startedAt       time.Time
+	// headAt is the time up to which the tables' head is known, from an own read or from
+	// another instance. It is not used with feeds.
+	headAt time.Time
 
 	// storedRow and rowETag are the zone's row as last read from or written to
 	// the store. Only the row loop uses them.
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -223,7 +223,9 @@
 	// cell of the instances to start; "" means their zone.
 	feeds func(id string) []platform.Feed
 	cell  string
-	log   *zap.Logger
+	// tableService returns the table service of an instance; nil means the store.
+	tableService func(id string) platform.TableService
+	log          *zap.Logger
 }
 
 func newTestCluster(seed uint64) *testCluster {
@@ -244,9 +246,13 @@
 	if tc.feeds != nil {
 		feeds = tc.feeds(id)
 	}
+	var tables platform.TableService = tc.store
+	if tc.tableService != nil {
+		tables = tc.tableService(id)
+	}
 	c := New(Config{
 		Feeds: feeds,
-		Self:  in, Timing: DefaultTiming(), Tables: tc.store, Objects: tc.store, Instances: tc.store.list,
+		Self:  in, Timing: DefaultTiming(), Tables: tables, Objects: tc.store, Instances: tc.store.list,
 		Seeds: tc.seeds, Peers: fakeTransport{tc.net, id}, Log: tc.log, Rand: tc.net.randFloat,
 	})
 	c.ledger = allowance.NewLedger(c.self, in.PeerAddress, c.timing.Allowance, tc.overrides)
--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -111,13 +111,17 @@
 	return true
 }
 
-// feedFreshness returns how recent this instance's copy of the feeds is. The caller
-// holds mu.
+// feedFreshness returns how recent this instance's copy of the feeds is or, without
+// feeds, its tables. The caller holds mu.
 func (c *Cluster) feedFreshness(now time.Time) instance.FeedFreshness {
-	if c.discovery == nil || c.discovery.fresh.CompleteAt().IsZero() {
+	at := c.headAt
+	if c.discovery != nil {
+		at = c.discovery.fresh.CompleteAt()
+	}
+	if at.IsZero() {
 		return instance.FeedFreshness{}
 	}
-	return instance.FeedFreshness{HasFeedReader: true, FeedReaderAge: max(0, now.Sub(c.discovery.fresh.CompleteAt()))}
+	return instance.FeedFreshness{HasFeedReader: true, FeedReaderAge: max(0, now.Sub(at))}
 }
 
 // observeFreshness records how recent the copy of another instance with the given
--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -223,6 +223,7 @@
 	c.fullReportDue = c.fullReportDue || r.WantDownstream
 	c.fetchCatalogIfBehind(from, r.CatalogPosition)
 	c.observeFreshness(sent, r.FeedFreshness, r.CatalogPosition, false)
+	c.observeHead(sent, r.FeedFreshness, r.TablesVersion)
 	c.mu.Unlock()
 }
 
--- a/pkg/cluster/storerefusal_test.go
+++ b/pkg/cluster/storerefusal_test.go
@@ -1,13 +1,16 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/test/virtualtime"
 )
@@ -188,3 +191,41 @@
 		}
 	}
 }
+
+// refusedTables is the table service of an instance, which refuses the calls of those in
+// refused.
+type refusedTables struct {
+	platform.TableService
+	id      string
+	refused *sync.Map
+}
+
+func (s refusedTables) Get(ctx context.Context, key, ifNoneMatch string) (platform.Row, bool, error) {
+	if _, ok := s.refused.Load(s.id); ok {
+		return platform.Row{}, false, fault.New(fault.KindStoreUnavailable, "refused")
+	}
+	return s.TableService.Get(ctx, key, ifNoneMatch)
+}
+
+// editBound is the time within which an edit of the tables must be in force everywhere.
+const editBound = 15 * time.Second
+
+// TestEditIsInForceInTimeWhileTheStoreRefusesTheWatchers has the store refuse the watchers of
+// a zone, which reply to the heartbeats of the others all the same.
+func TestEditIsInForceInTimeWhileTheStoreRefusesTheWatchers(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		tc := newTestCluster(11)
+		defer tc.stop()
+		var refused sync.Map
+		tc.tableService = func(id string) platform.TableService { return refusedTables{tc.store, id, &refused} }
+		tc.store.accept(testTables(1, 1))
+		startAll(tc, 4, 1)
+		waitFor(t, 5*time.Second, "version 1 in force", func() bool { return tc.allInForce(1) })
+		time.Sleep(settleTime)
+		for _, id := range tc.currentTree().Watchers() {
+			refused.Store(id, true)
+		}
+		tc.store.accept(testTables(2, 1))
+		t.Logf("in force everywhere after %v", waitFor(t, editBound, "version 2 in force", func() bool { return tc.allInForce(2) }))
+	})
+}
--- a/pkg/cluster/tables.go
+++ b/pkg/cluster/tables.go
@@ -29,26 +29,44 @@
 	maxAnnouncedPatch = 64 << 10
 )
 
+// headCheckInterval is the time between two checks whether the tables' head has to be
+// read earlier than planned.
+const headCheckInterval = time.Second
+
 // tablesLoop reads the tables' head from the store at the interval of
 // headReadInterval.
 func (c *Cluster) tablesLoop(ctx context.Context) {
 	for {
 		c.readHead(ctx)
-		if !sleep(ctx, c.headReadInterval(), nil) {
-			return
+		due := time.Now().Add(c.headReadInterval())
+		for left := time.Until(due); left > 0; left = time.Until(due) {
+			if !sleep(ctx, min(left, headCheckInterval), nil) {
+				return
+			}
+			if earlier := time.Now().Add(c.headReadInterval()); c.headUnconfirmed() && earlier.Before(due) {
+				due = earlier
+			}
 		}
 	}
 }
 
+// headUnconfirmed reports whether nothing has shown for a while that the tables in force
+// are the newest.
+func (c *Cluster) headUnconfirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.headAt) > c.timing.Spread.WatcherTimeout
+}
+
 // headReadInterval returns the time until the next read of the tables' head. It
 // is shortest for a watcher and while no tables are in force, and longest while
-// heartbeat replies arrive.
+// other instances that can read the head reply to heartbeats.
 func (c *Cluster) headReadInterval() time.Duration {
 	watcher := c.isWatcher()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.timing.Spread.NextInterval(spread.ReadConditions{
-		IsWatcher: watcher, HasTables: c.versions.InForce() > 0, SinceWatcherMessage: time.Since(c.lastReplyAt),
+		IsWatcher: watcher, HasTables: c.versions.InForce() > 0, SinceConfirmed: time.Since(c.headAt),
 	}, c.cfg.Rand())
 }
 
@@ -86,14 +104,37 @@
 // version, loads that version. A head whose version can't be loaded for another
 // reason than an invalid table is read again the next time.
 func (c *Cluster) readHead(ctx context.Context) {
+	sent := time.Now()
 	head, etag, changed, err := tablestore.ReadHead(ctx, guardedTables{c.cfg.Tables, c.storeGuard}, c.headETag)
-	if err != nil || !changed {
+	if err != nil {
 		return
 	}
-	err = c.loadVersion(head.Version, func() (*table.Tables, error) { return c.loader.Load(ctx, head) })
-	if err == nil || fault.KindOf(err) == fault.KindInvalidTable {
+	if changed {
+		err = c.loadVersion(head.Version, func() (*table.Tables, error) { return c.loader.Load(ctx, head) })
+		if err != nil && fault.KindOf(err) != fault.KindInvalidTable {
+			return
+		}
 		c.headETag = etag
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordHead(sent)
+}
+
+// recordHead records that the tables in force are the newest as of a time. The caller
+// holds mu.
+func (c *Cluster) recordHead(at time.Time) {
+	if at.After(c.headAt) {
+		c.headAt = at
+	}
+}
+
+// observeHead records how recently another instance, whose tables have the given version,
+// has known the head of the tables, as of a time. The caller holds mu.
+func (c *Cluster) observeHead(at time.Time, f instance.FeedFreshness, version uint64) {
+	if c.discovery == nil && f.HasFeedReader && !c.versions.ShouldFetch(version) {
+		c.recordHead(at.Add(-f.FeedReaderAge))
+	}
 }
 
 // loadVersion calls f, which uses the loader, if version is above the one in
--- a/pkg/decision/spread/spread.go
+++ b/pkg/decision/spread/spread.go
@@ -90,16 +90,15 @@
 type Timing struct {
 	// WatcherInterval applies to watchers.
 	WatcherInterval time.Duration
-	// FallbackInterval applies to other instances that receive messages from a
-	// watcher.
+	// FallbackInterval applies to other instances that hear that their tables are the
+	// newest.
 	FallbackInterval time.Duration
-	// NoWatcherInterval applies to other instances that receive messages from no
-	// watcher.
+	// NoWatcherInterval applies to other instances that do not.
 	NoWatcherInterval time.Duration
 	// StartupInterval applies to other instances while no version is in force.
 	StartupInterval time.Duration
-	// WatcherTimeout is the time after the last message from a watcher from which
-	// NoWatcherInterval applies.
+	// WatcherTimeout is the age of the last proof that the tables are the newest from
+	// which NoWatcherInterval applies.
 	WatcherTimeout time.Duration
 }
 
@@ -117,8 +116,9 @@
 	IsWatcher bool
 	// HasTables is set when a version is in force.
 	HasTables bool
-	// SinceWatcherMessage is the time since the last message from a watcher.
-	SinceWatcherMessage time.Duration
+	// SinceConfirmed is the time since the tables were last known to be the newest,
+	// because this instance or one that it has heard has read the head.
+	SinceConfirmed time.Duration
 }
 
 // NextInterval returns the time until the next read of the tables' head. rnd is
@@ -131,7 +131,7 @@
 		d = t.WatcherInterval
 	case !s.HasTables:
 		d = t.StartupInterval
-	case s.SinceWatcherMessage > t.WatcherTimeout:
+	case s.SinceConfirmed > t.WatcherTimeout:
 		d = t.NoWatcherInterval
 	}
 	if s.IsWatcher {
--- a/pkg/decision/spread/spread_test.go
+++ b/pkg/decision/spread/spread_test.go
@@ -75,7 +75,7 @@
 	if reads > budget/2 {
 		t.Errorf("%.0f reads per second, more than half of the budget of %d", reads, budget)
 	}
-	fallbackReads := instances / meanInterval(ReadConditions{HasTables: true, SinceWatcherMessage: time.Minute})
+	fallbackReads := instances / meanInterval(ReadConditions{HasTables: true, SinceConfirmed: time.Minute})
 	if fallbackReads > budget {
 		t.Errorf("%.0f reads per second without watchers, budget %d", fallbackReads, budget)
 	}
--- a/pkg/peer/instance/messages.go
+++ b/pkg/peer/instance/messages.go
@@ -70,13 +70,13 @@
 	RateLimits []ratelimit.Record `json:"limits,omitempty"`
 }
 
-// FeedFreshness states how recent an instance's copy of the platform's feeds is.
+// FeedFreshness states how recent an instance's copy of the platform's feeds is or,
+// without feeds, its tables.
 type FeedFreshness struct {
 	// HasFeedReader is set once the instance has read the feeds, or has received the
 	// entries of an instance that has.
 	HasFeedReader bool `json:"following,omitempty"`
-	// FeedReaderAge is the time since the instance had all entries that the store had
-	// accepted.
+	// FeedReaderAge is the time since the instance had all that the store had accepted.
 	FeedReaderAge time.Duration `json:"following_age,omitempty"`
 }
 
