Ignore a target's report that the store carries out after a later one

A write without an answer may be performed seconds later. If it is a target's report "ready" and a later one, "draining", has been performed before, the target seemed ready again until its next report, 1.5 s, and got requests.

Reports of one incarnation are ordered by the target's own sequence number, within a generation of the store as they already were between two, also for a target whose entry is gone. TestReportThatTheStoreCarriesOutLateChangesNothing failed before, both cases.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -143,8 +143,8 @@
 
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
-// just recovered. An entry of an earlier incarnation, or one that only an older copy of
-// the store contains, only raises the version.
+// just recovered. An entry that its target wrote before the one stored, or that only an
+// older copy of the store contains, only raises the version.
 func (c *Catalog) apply(now time.Time, e *Entry) {
 	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
@@ -181,14 +181,14 @@
 		return false
 	}
 	if old.Target == nil {
-		return true
+		return e.Target == nil || old.lastTarget == nil || !e.Target.olderThan(old.lastTarget)
 	}
 	if delay := max(e.RemovalDelay, c.deferUntil[e.Topic].Sub(now)); e.Removed && delay > 0 {
 		old.deferTo(*e, now.Add(delay))
 		return false
 	}
-	// False for a delayed entry of an earlier incarnation of the target.
-	return e.Target == nil || e.Target.StartMillis == 0 || e.Target.StartMillis >= old.Target.StartMillis
+	// The store may carry out a write long after a later one of the same target.
+	return e.Target == nil || !e.Target.olderThan(old.Target)
 }
 
 // TakeOldestChange returns a time at which the store held none of the entries applied
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -298,3 +298,36 @@
 		t.Errorf("the same change at %v again", since)
 	}
 }
+
+// TestReportThatTheStoreCarriesOutLateChangesNothing has the store carry out a write of a
+// target after a later one of the same target: a target that leaves must not seem ready
+// again, and one that is gone not come back.
+func TestReportThatTheStoreCarriesOutLateChangesNothing(t *testing.T) {
+	report := func(version uint64, sequence int64, draining bool) Entry {
+		e := target("t1", version)
+		e.Target.Sequence, e.Target.Draining = sequence, draining
+		return e
+	}
+	for name, gone := range map[string]bool{"leaving": false, "gone": true} {
+		t.Run(name, func(t *testing.T) {
+			c := withTargets(0)
+			c.Merge(at(0), Targets, []Entry{report(10, 5, false)}, 10)
+			c.Merge(at(0), Targets, []Entry{report(11, 7, true)}, 11)
+			if gone {
+				c.Merge(at(0), Targets, []Entry{removal("t1", 12)}, 12)
+			}
+			c.Assemble()
+			c.Merge(at(time.Second), Targets, []Entry{report(13, 6, false)}, 13)
+			if got := c.Assemble(); got != nil {
+				t.Errorf("the late report changes the tables: active targets %v", activeTargets(got))
+			}
+			if got := c.Position()[Targets]; got != 13 {
+				t.Errorf("position %d, want that of the late report", got)
+			}
+			c.Merge(at(2*time.Second), Targets, []Entry{report(14, 8, false)}, 14)
+			if got := activeTargets(c.Assemble()); len(got) != 1 {
+				t.Errorf("active targets %v after a newer report, want t1", got)
+			}
+		})
+	}
+}
