Place a request again whose target drains before it is sent

The tables in force count too: a target that drains, is gone, is another incarnation or at another address. Bodies need nothing more: a body with a length is read before the decision, one in chunks is passed on as it comes.

TestRequestMovesWhenTheTablesDropItsTargetBeforeItIsSent and TestDecisionKnowsThatItsTargetLeavesByTheTables fail without it.

--- a/pkg/decision/steer/backoff.go
+++ b/pkg/decision/steer/backoff.go
@@ -89,11 +89,16 @@
 	return changed
 }
 
-// TargetLeaving reports whether the target of d has announced to this instance that
-// it is leaving, so that a request that has not been sent to it yet must not be.
-// Peers' reports do not count.
-func (d *Decision) TargetLeaving() bool {
-	return d.targetStats != nil && d.targetStats.leaving.Load()
+// TargetLeaving reports whether the target of d has begun to leave since the decision,
+// so that a request that has not been sent to it yet must not be: it has announced that
+// to this instance, or by the tables in force it drains, is gone, or is another
+// incarnation or at another address. Peers' reports do not count.
+func (c *Core) TargetLeaving(d *Decision) bool {
+	if d.targetStats == nil {
+		return false
+	}
+	t, ok := c.snapshot.Load().targets[d.Target]
+	return d.targetStats.leaving.Load() || !ok || t.drain || t.targetStats != d.targetStats || t.row.Address != d.Address
 }
 
 // earliestBackoffEnd returns the time until the first of the targets for r that
--- a/pkg/decision/steer/backoff_test.go
+++ b/pkg/decision/steer/backoff_test.go
@@ -127,18 +127,51 @@
 	c := directCore(tb, "a", "osrednja")
 	answered := mustDispatch(t, c.Decide(at(0), directRequest(tb, at(0), 3)))
 	placed := mustDispatch(t, c.Decide(at(0), directRequest(tb, at(0), 3)))
-	if placed.Target != answered.Target || placed.TargetLeaving() {
+	if placed.Target != answered.Target || c.TargetLeaving(&placed) {
 		t.Fatalf("decision %+v, want the target %s, which is not leaving", placed, answered.Target)
 	}
 	c.ObserveNotice(at(1), answered, Notice{Leaving: true})
-	if !placed.TargetLeaving() {
+	if !c.TargetLeaving(&placed) {
 		t.Error("the decision doesn't show that its target is leaving")
 	}
-	if refused := c.Decide(at(1), &Request{}); refused.TargetLeaving() {
+	if refused := c.Decide(at(1), &Request{}); c.TargetLeaving(&refused) {
 		t.Error("a refusal has a leaving target")
 	}
 }
 
+// TestDecisionKnowsThatItsTargetLeavesByTheTables covers a request that is decided under
+// tables in which its target may be used, and sent under later ones.
+func TestDecisionKnowsThatItsTargetLeavesByTheTables(t *testing.T) {
+	for name, change := range map[string]func(p *table.Pool){
+		"drained":             func(p *table.Pool) { p.Targets[0].Drain = true },
+		"pool drained":        func(p *table.Pool) { p.Drain = true },
+		"removed":             func(p *table.Pool) { p.Targets = p.Targets[1:] },
+		"another incarnation": func(p *table.Pool) { p.Targets[0].Incarnation = "2" },
+		"another address":     func(p *table.Pool) { p.Targets[0].Address = "10.9.9.9:80" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tb := fleet{perRegion: []int{2, 0, 0}, slots: 8}.tables()
+			c := directCore(tb, "a", "osrednja")
+			first := tb.Pools[0].Targets[0].Name
+			placed := map[string]Decision{}
+			for key := uint64(1); len(placed) < 2; key++ {
+				d := mustDispatch(t, c.Decide(at(0), directRequest(tb, at(0), key)))
+				placed[d.Target] = d
+			}
+			later := fleet{perRegion: []int{2, 0, 0}, slots: 8}.tables()
+			later.Version = tb.Version + 1
+			change(&later.Pools[0])
+			c.SetTables(at(1), later)
+			for target, d := range placed {
+				want := target == first || later.Pools[0].Drain
+				if got := c.TargetLeaving(&d); got != want {
+					t.Errorf("request to %s, where %s has changed: leaving %v", target, first, got)
+				}
+			}
+		})
+	}
+}
+
 // backoffLoad is a load from many instances, while some targets refuse all
 // requests for a time.
 type backoffLoad struct {
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -124,7 +124,7 @@
 // called right before the first byte is sent.
 func (a *attempt) withdrawn() bool {
 	a.sentAfter.Store(a.x.node.now().Sub(a.x.req.Arrived).Nanoseconds())
-	return a.decision.TargetLeaving()
+	return a.x.node.core.TargetLeaving(&a.decision)
 }
 
 // hop forwards the request to an instance of the decided zone.
