Refuse at a planned stop what would be cut off, as not run

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated. Here: a request that still waited for a slot at the end was closed without an answer, though it had never been passed on; one whose slot came free, or whose body ended, in the last moments of the grace was passed on and cut.

A stopping instance knows when it cuts what is in flight. Where a part of a body in chunks has been passed on, the outcome is unknown, and the caller gets 502.

On the users' platform requests are refused from 3 s after the signal on, so what remained was bodies that end later than that.

--- a/pkg/decision/steer/core.go
+++ b/pkg/decision/steer/core.go
@@ -37,6 +37,9 @@
 	// members are the instances that share what is limited for all of them together.
 	members atomic.Pointer[ratelimit.Members]
 
+	// stopAt is when the requests in flight are cut off; nil unless this instance stops.
+	stopAt atomic.Pointer[time.Time]
+
 	// lastSerial is the serial number of the last targetStats created.
 	lastSerial atomic.Uint64
 
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return refuse(fault.KindPoisonHeld)
 	}
-	d := c.decide(c.snapshot.Load(), now, r)
+	d := c.refuseIfOutlastsStop(now, r, c.decide(c.snapshot.Load(), now, r))
 	d.fingerprint = r.Fingerprint
 	switch d.Verdict {
 	case Refuse, Wait:
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -145,6 +145,7 @@
 	for _, p := range w.pools {
 		p.blocked = false
 		c.refuseExpired(p, now)
+		c.refuseQueuedBeforeStop(p, now)
 	}
 	for {
 		p := w.nextPool()
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -123,8 +123,9 @@
 // withdrawn reports whether the request must not be sent to its target any more. It is
 // called right before the first byte is sent.
 func (a *attempt) withdrawn() bool {
-	a.sentAfter.Store(a.x.node.now().Sub(a.x.req.Arrived).Nanoseconds())
-	return a.x.node.core.TargetLeaving(&a.decision)
+	now := a.x.node.now()
+	a.sentAfter.Store(now.Sub(a.x.req.Arrived).Nanoseconds())
+	return a.x.node.core.MustNotSend(now, &a.x.req, &a.decision)
 }
 
 // hop forwards the request to an instance of the decided zone.
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
@@ -31,6 +32,8 @@
 	id string
 	// object names the object that the request concerns; empty without one.
 	object string
+	// bodyInterrupted is set when interruptBodyAtStop has ended the reads of the body.
+	bodyInterrupted atomic.Bool
 	// truncated is set when the response ended before its whole body was sent.
 	truncated bool
 	// forwardedHome is set on a repeat that another instance forwarded to this
@@ -99,6 +102,14 @@
 // err.
 func (x *exchange) attemptRefusal(err error) caller.Refusal {
 	refusal := caller.RefusalFromError(err)
+	switch {
+	case !x.bodyInterrupted.Load():
+	case refusal.Kind == fault.KindBadRequest:
+		refusal = interruptedRefusal(fault.KindLeaving)
+	case refusal.Kind == fault.KindBodyMismatch:
+		// A part of the request has been sent.
+		refusal = interruptedRefusal(fault.KindTargetLost)
+	}
 	if refusal.Kind == fault.KindTargetShed {
 		if after, ok := x.node.core.RetryAfter(x.node.now(), &x.req, x.lastDecision, x.targetLoad); ok {
 			refusal.RetryAfter = after
@@ -126,12 +137,37 @@
 	return true
 }
 
+// interruptBodyAtStop has reads of the request's body fail once a stopping instance could
+// not serve the request any more, until the function that it returns is called.
+func (x *exchange) interruptBodyAtStop() (cancel func()) {
+	if x.httpReq.Body == nil || x.httpReq.Body == http.NoBody {
+		return func() {}
+	}
+	ended := make(chan struct{})
+	unwatch := context.AfterFunc(x.node.stopping, func() {
+		latest, _ := x.node.core.LatestStart(&x.req)
+		select {
+		case <-ended:
+		case <-time.After(latest.Sub(x.node.now())):
+			x.bodyInterrupted.Store(true)
+			// Connections without support for deadlines are served without them.
+			_ = http.NewResponseController(x.w).SetReadDeadline(x.node.now())
+		}
+	})
+	return func() {
+		unwatch()
+		close(ended)
+	}
+}
+
 // bodyRefusal returns the refusal for a body that could not be read before the
 // dispatch.
 func (x *exchange) bodyRefusal(err error) caller.Refusal {
 	switch {
 	case errors.Is(err, upstream.ErrBodyTooLarge):
 		return caller.Refusal{Kind: fault.KindBodyTooLarge, Message: err.Error()}
+	case x.bodyInterrupted.Load():
+		return interruptedRefusal(fault.KindLeaving)
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		return caller.Refusal{Kind: fault.KindDeadlinePassed, Message: "the deadline passed before the request body had arrived"}
 	}
@@ -159,6 +195,12 @@
 	return <-decided
 }
 
+// interruptedRefusal returns the refusal of a request whose body had not arrived when a
+// stopping instance could not serve it any more.
+func interruptedRefusal(kind fault.Kind) caller.Refusal {
+	return caller.Refusal{Kind: kind, Message: "the instance stops before the request body has arrived"}
+}
+
 // contextErrorKind returns the kind for a request whose context ended before a
 // dispatch.
 func (x *exchange) contextErrorKind() fault.Kind {
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -144,6 +144,7 @@
 		x.relay.AllowReservedField(n.dialect.ResponseStamp)
 	}
 	x.setCallerDeadlines()
+	defer x.interruptBodyAtStop()()
 	var span trace.Span
 	x.ctx, span = n.tracer.StartServerSpan(x.ctx, r.Header, "request "+route.Name)
 	x.serve(fields.ID)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -86,6 +86,9 @@
 	// inFlight counts the requests that this instance is serving.
 	inFlight atomic.Int64
 	now      func() time.Time
+	// stopping ends, by announceStop, when a planned stop with a time limit begins.
+	stopping     context.Context
+	announceStop context.CancelFunc
 	// clusterSetsShares is true when the cluster is an Attacher and sets the
 	// shares of core itself.
 	clusterSetsShares bool
@@ -124,6 +127,7 @@
 	if n.direct() {
 		n.core.EnableDirect(directPolicy(c.Settings))
 	}
+	n.stopping, n.announceStop = context.WithCancel(context.Background())
 	n.homeFinder = newHomeFinder(c.Instances, n.dialer)
 	n.drains = newDrainTracker(n.recordDrain)
 	if a, ok := c.Cluster.(Attacher); ok {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -91,10 +91,17 @@
 // startInstance opens the listeners of an instance and creates its Node; run serves
 // it.
 func startInstance(t testing.TB, id, zone string) *testInstance {
+	t.Helper()
+	return startInstanceWith(t, id, zone, func(*settings.Settings) {})
+}
+
+// startInstanceWith is startInstance with settings that configure changes.
+func startInstanceWith(t testing.TB, id, zone string, configure func(s *settings.Settings)) *testInstance {
 	t.Helper()
 	s := settings.Default()
 	s.Leave.MinLookupTTL = settings.Duration(20 * time.Millisecond)
 	s.Probe.Interval = settings.Duration(20 * time.Millisecond)
+	configure(&s)
 	var ls Listeners
 	for _, p := range []*net.Listener{&ls.Caller, &ls.Hop, &ls.Admin} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -131,7 +131,8 @@
 //  2. Once the lookup responses already given out have expired, new requests
 //     are refused.
 //  3. Requests in flight run to their end, at most until the drain limit of
-//     the leave settings.
+//     the leave settings. Those that are not expected to end by then are refused
+//     unless they have been passed on, also while they wait or their body arrives.
 //  4. The shares are returned and the instance is deregistered. With direct
 //     dispatch, which holds no shares, this happens during step 3.
 //
@@ -140,6 +141,10 @@
 // Shutdown waits for them at most deregisterTimeout.
 func (n *Node) leave() {
 	start := n.now()
+	if limit := n.settings.Leave.DrainLimit(); limit > 0 {
+		n.core.SetStop(start.Add(limit))
+		n.announceStop()
+	}
 	n.stage.Store(stageLeaving)
 	n.log.Info("leaving", zap.Int64("in_flight", n.inFlight.Load()))
 	ctx, cancel := context.WithCancel(context.Background())
