Let a body belong to one attempt at a time

The body now knows which attempt may read it. Whether another attempt may follow is asked and answered under the same lock that the first read takes: if nothing was read, earlier readers fail from then on; if anything was, later ones do.

--- a/pkg/peer/upstream/body.go
+++ b/pkg/peer/upstream/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
@@ -17,16 +18,21 @@
 var ErrBodyTooLarge = errors.New("request body exceeds the route's limit")
 
 // Body is a request body that is shared by all attempts of the request. It is
-// empty, buffered in memory, or streamed from the caller.
+// empty, buffered in memory, or streamed from the caller. A streamed body belongs to one
+// attempt at a time: the goroutine that writes it may outlive its attempt.
 type Body struct {
 	length int64
 	limit  int64
 	source io.ReadCloser
 	// buffered is the whole body; nil when the body is empty or streamed.
 	buffered []byte
-	// readStarted and eof record how far a streamed body has been read.
-	readStarted atomic.Bool
-	eof         atomic.Bool
+	eof      atomic.Bool
+
+	// mu guards reader, the attempt that may read a streamed body, and readStarted,
+	// which is set once any attempt has begun to.
+	mu          sync.Mutex
+	reader      *attemptReader
+	readStarted bool
 }
 
 // NewBody takes over the body of r. It returns ErrBodyTooLarge when the declared
@@ -61,12 +67,22 @@
 // ReachedEOF reports whether a streamed body has been read to its end.
 func (b *Body) ReachedEOF() bool { return b.eof.Load() }
 
-// Replayable reports whether another attempt can still send the whole body.
+// Replayable reports whether another attempt can still send the whole body. If it can,
+// the attempts before read nothing more of it.
 func (b *Body) Replayable() bool {
-	return b.length == 0 || b.buffered != nil || !b.readStarted.Load()
+	if b.length == 0 || b.buffered != nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.readStarted {
+		b.reader = nil
+	}
+	return !b.readStarted
 }
 
-// NewReader returns a reader of the body for one attempt.
+// NewReader returns a reader of the body for one attempt. From then on, the readers of
+// earlier attempts fail.
 func (b *Body) NewReader() io.ReadCloser {
 	switch {
 	case b.length == 0:
@@ -74,7 +90,25 @@
 	case b.buffered != nil:
 		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
-	return &attemptReader{body: b}
+	a := &attemptReader{body: b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.readStarted {
+		b.reader = a
+	}
+	return a
+}
+
+// errNotReadersTurn is the error of an attempt that may not read the body: another
+// attempt has begun to read it, or may.
+var errNotReadersTurn = errors.New("request body belongs to another attempt")
+
+// startReading reports whether the attempt a may read the body, which then belongs to it.
+func (b *Body) startReading(a *attemptReader) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readStarted = b.readStarted || b.reader == a
+	return b.reader == a
 }
 
 // attemptReader streams the body to one attempt and records a failure to read it.
@@ -86,7 +120,10 @@
 
 // Read reads from the caller's body. It returns ErrBodyTooLarge beyond the limit.
 func (a *attemptReader) Read(p []byte) (int, error) {
-	a.body.readStarted.Store(true)
+	if !a.body.startReading(a) {
+		a.readFailed.Store(true)
+		return 0, errNotReadersTurn
+	}
 	n, err := a.body.source.Read(p)
 	a.bytesRead += int64(n)
 	if a.bytesRead > a.body.limit {
