Give a response a second to be written from its turn on

A response has at least a second from its turn on. A caller that does not read still ends the connection with the first response that can't be written.

--- a/pkg/peer/caller/pipeline/pipeline_test.go
+++ b/pkg/peer/caller/pipeline/pipeline_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// TestResponsesBehindASlowOneAreDelivered has the write deadlines of responses pass while
+// they wait for the one before them.
+func TestResponsesBehindASlowOneAreDelivered(t *testing.T) {
+	passed := make(chan struct{}, 2)
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-passed
+			<-passed
+			time.Sleep(50 * time.Millisecond)
+		} else {
+			deadline := time.Now().Add(10 * time.Millisecond)
+			_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+			time.Sleep(time.Until(deadline))
+			passed <- struct{}{}
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	_, br := dialAndSend(t, address, getRequest("/slow")+getRequest("/2")+getRequest("/3"))
+	for _, want := range []string{"/slow", "/2", "/3"} {
+		if _, got := readResponse(t, br); got != want {
+			t.Errorf("response %q, want %q", got, want)
+		}
+	}
+}
+
 func TestRequestWithBodyWaitsForEarlierRequests(t *testing.T) {
 	var running, runningAtPost atomic.Int32
 	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/peer/caller/pipeline/response.go
+++ b/pkg/peer/caller/pipeline/response.go
@@ -122,12 +122,24 @@
 		w.err = errConnClosed
 		return w.err
 	}
-	if err := w.conn.netConn.SetWriteDeadline(w.writeDeadline); err != nil {
+	if err := w.conn.netConn.SetWriteDeadline(w.deadlineAtTurn(time.Now())); err != nil {
 		w.err = err
 	}
 	return w.err
 }
 
+// minWriteTime is the time that a response has at least for being written, from its turn
+// on: its own deadline may pass while it waits for the responses before it.
+const minWriteTime = time.Second
+
+// deadlineAtTurn returns the write deadline of a response whose turn comes at now.
+func (w *response) deadlineAtTurn(now time.Time) time.Time {
+	if earliest := now.Add(minWriteTime); !w.writeDeadline.IsZero() && w.writeDeadline.Before(earliest) {
+		return earliest
+	}
+	return w.writeDeadline
+}
+
 // errConnClosed is returned by writes after the caller has disconnected or the
 // connection has been aborted.
 var errConnClosed = errors.New("connection to the caller is closed")
@@ -349,7 +361,7 @@
 }
 
 // SetWriteDeadline sets the write deadline of this response. It has no effect once
-// the header has been written.
+// the header has been written, and leaves at least minWriteTime from the response's turn.
 func (w *response) SetWriteDeadline(t time.Time) error {
 	w.writeDeadline = t
 	return nil
