A dropped announcement ends no delivery in flight

Found in reading: when the queue of announcements was full, dropping one of the members' digest forgot the deliveries of entries in flight to its recipients, so that the next entries could overtake them, and cost a fetch. TestDroppedAnnouncementEndsNoDeliveryInFlight failed before.

--- a/pkg/cluster/announce_test.go
+++ b/pkg/cluster/announce_test.go
@@ -129,3 +129,26 @@
 		loop.Wait()
 	})
 }
+
+// TestDroppedAnnouncementEndsNoDeliveryInFlight drops an announcement of the members' digest
+// because the queue is full, while a call with entries is in flight to a member. Entries
+// that follow must wait for that call.
+func TestDroppedAnnouncementEndsNoDeliveryInFlight(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c, tree := newAnnouncer(&recordingTransport{})
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := time.Now()
+		for version := range uint64(2 * maxQueuedAnnouncements) {
+			base := c.catalogPosition()
+			c.discovery.catalog.Merge(now, catalog.Targets, []catalog.Entry{{Topic: catalog.Targets, Key: "t", Version: version + 1}}, version+1)
+			c.announceEntries(now, base)
+			c.announceDigest(now, version+1)
+		}
+		for _, id := range tree.Relays() {
+			if d := c.discovery.deliveries[id]; d == nil || !d.pending {
+				t.Errorf("delivery to %s: %+v, want one with entries to follow", id, d)
+			}
+		}
+	})
+}
--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -95,9 +95,17 @@
 	case c.discovery.announceQueue <- a:
 	default:
 		c.cfg.Log.Warn("announcement dropped, the members will fetch what it holds", zap.Int("members", len(a.to)))
-		for _, m := range a.to {
-			delete(c.discovery.deliveries, m.ID)
-		}
+		c.discovery.cancelDelivery(&a)
+	}
+}
+
+// cancelDelivery undoes beginDelivery for the recipients of a. The caller holds mu.
+func (d *discovery) cancelDelivery(a *announcement) {
+	if !a.ordered() {
+		return
+	}
+	for _, m := range a.to {
+		delete(d.deliveries, m.ID)
 	}
 }
 
@@ -141,7 +149,11 @@
 		return announcement{}, false
 	}
 	d.pending = false
-	return c.entriesAfter(time.Now(), d.base)
+	a, ok := c.entriesAfter(time.Now(), d.base)
+	if !ok {
+		delete(c.discovery.deliveries, id)
+	}
+	return a, ok
 }
 
 // announceEntriesLoop sends the queued announcements.
