A proof says that the versions since the last one hold no entries

Found in reading: other rows of the store take versions too, so a proof of the feed reader named a higher position than a candidate had, and each candidate fetched an empty catalog. The proof now states the position before the read; who has all up to there takes the new one. Announcements of other builds state no age, and raise nothing. TestProofRaisesThePositionWithoutAFetch.

--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
@@ -39,13 +40,11 @@
 	base    catalog.Position
 }
 
-// newAnnouncement returns an announcement by this instance, without its content. The
-// caller holds mu.
-func (c *Cluster) newAnnouncement(now time.Time) announcement {
-	return announcement{
-		request: &instance.AnnounceRequest{From: c.view.Self(), CatalogPosition: c.catalogPosition(), FeedFreshness: c.feedFreshness(now)},
-		madeAt:  now,
-	}
+// newAnnouncement returns an announcement by this instance that its copy of the feeds has
+// no changes after base, to which the changes can be added. The caller holds mu.
+func (c *Cluster) newAnnouncement(now time.Time, base catalog.Position) announcement {
+	q := &instance.AnnounceRequest{From: c.view.Self(), BasePosition: base, CatalogPosition: c.catalogPosition(), FeedFreshness: c.feedFreshness(now)}
+	return announcement{request: q, madeAt: now}
 }
 
 // announceEntries queues an announcement of the entries after base and reports whether
@@ -63,22 +62,22 @@
 // none. The caller holds mu.
 func (c *Cluster) entriesAfter(now time.Time, base catalog.Position) (announcement, bool) {
 	entries := c.discovery.catalog.EntriesAfter(now, base)
-	a := c.newAnnouncement(now)
-	a.request.BasePosition, a.request.Entries = base, instance.NewEncodedEntries(entries)
+	a := c.newAnnouncement(now, base)
+	a.request.Entries = instance.NewEncodedEntries(entries)
 	return a, len(entries) > 0
 }
 
-// announceProof queues the proof of a reader that its copy of the feeds is complete, for
-// the candidates that read if they get none. The caller holds mu.
-func (c *Cluster) announceProof(now time.Time) {
-	a := c.newAnnouncement(now)
+// announceProof queues the proof of a reader that its copy of the feeds is complete and has
+// no entries after base, for the candidates that read if they get none. The caller holds mu.
+func (c *Cluster) announceProof(now time.Time, base catalog.Position) {
+	a := c.newAnnouncement(now, base)
 	a.to = c.proofRecipients(now)
 	c.enqueueAnnouncement(a)
 }
 
 // announceDigest queues an announcement of the members' digest. The caller holds mu.
 func (c *Cluster) announceDigest(now time.Time, digest uint64) {
-	a := c.newAnnouncement(now)
+	a := c.newAnnouncement(now, c.catalogPosition())
 	a.request.MembersDigest = digest
 	a.to = c.announceRecipients(now)
 	c.enqueueAnnouncement(a)
@@ -137,6 +136,10 @@
 	}
 }
 
+// isUnavailable reports whether err says that another instance could not be reached or
+// did not answer.
+func isUnavailable(err error) bool { return fault.KindOf(err) == fault.KindPeerUnavailable }
+
 // nextDelivery returns the announcement that is to follow the one just sent to the
 // member, or false if there is none.
 func (c *Cluster) nextDelivery(id string) (announcement, bool) {
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -290,7 +290,7 @@
 // instance's reads, or that there are none. The caller holds mu.
 func (c *Cluster) announceRead(now time.Time, base catalog.Position) {
 	if c.actsAsReader(now) && !c.announceEntries(now, base) {
-		c.announceProof(now)
+		c.announceProof(now, base)
 	}
 }
 
--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -10,7 +10,6 @@
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
-	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
@@ -206,24 +205,22 @@
 	p.Wait()
 }
 
-// isUnavailable reports whether err says that another instance could not be reached or
-// did not answer.
-func isUnavailable(err error) bool { return fault.KindOf(err) == fault.KindPeerUnavailable }
-
 // applyEntries merges announced entries if this instance has all entries before
 // them; else it arranges a fetch. A relay forwards them first: the members downstream
-// must not wait until it has assembled its tables. The caller holds mu.
+// must not wait until it has assembled its tables. An announcement that does not state
+// how recent its sender's copy is has no entries, and does not say that there are none.
+// The caller holds mu.
 func (c *Cluster) applyEntries(now time.Time, q *instance.AnnounceRequest) {
 	if c.discovery == nil {
 		return
 	}
 	base, entries := c.discovery.catalog.Position(), q.Entries.List()
-	if len(entries) > 0 && !base.Behind(q.BasePosition) {
+	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
 		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
 	}
 	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
 	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, c.isSenior(now, q.From.ID))
-	if c.discovery.catalog.Position() == base {
+	if len(entries) == 0 || c.discovery.catalog.Position() == base {
 		return
 	}
 	if base == q.BasePosition {
@@ -248,8 +245,8 @@
 	if !c.currentTree(now).IsRelay(c.self.ID) {
 		return
 	}
-	a := c.newAnnouncement(now)
-	a.request.BasePosition, a.request.Entries = q.BasePosition, q.Entries
+	a := c.newAnnouncement(now, q.BasePosition)
+	a.request.Entries = q.Entries
 	a.to = c.announceRecipients(now)
 	c.enqueueAnnouncement(a)
 }
--- a/pkg/cluster/feedreader_test.go
+++ b/pkg/cluster/feedreader_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 	"github.com/jacinthramp/jacinthramp/test/virtualtime"
 )
 
@@ -31,3 +32,34 @@
 		}
 	})
 }
+
+// TestProofRaisesThePositionWithoutAFetch covers the versions of a feed that other rows of
+// the store have taken: a proof of the feed reader says that they hold no entries.
+func TestProofRaisesThePositionWithoutAFetch(t *testing.T) {
+	fresh := instance.FeedFreshness{HasFeedReader: true}
+	known := catalog.Position{5, 7}
+	for name, c := range map[string]struct {
+		q         instance.AnnounceRequest
+		want      catalog.Position
+		wantFetch bool
+	}{
+		"proof":                    {instance.AnnounceRequest{BasePosition: known, CatalogPosition: catalog.Position{5, 9}, FeedFreshness: fresh}, catalog.Position{5, 9}, false},
+		"proof after missed ones":  {instance.AnnounceRequest{BasePosition: catalog.Position{5, 8}, CatalogPosition: catalog.Position{5, 9}, FeedFreshness: fresh}, known, true},
+		"no statement of an age":   {instance.AnnounceRequest{CatalogPosition: catalog.Position{5, 9}, MembersDigest: 1}, known, true},
+		"proof of an earlier copy": {instance.AnnounceRequest{BasePosition: catalog.Position{4, 4}, CatalogPosition: catalog.Position{5, 6}, FeedFreshness: fresh}, known, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			receiver, _ := newAnnouncer(nil)
+			receiver.discovery.catalog.MergeAll(time.Now(), nil, known)
+			receiver.mu.Lock()
+			defer receiver.mu.Unlock()
+			receiver.applyEntries(time.Now(), &c.q)
+			if got := receiver.catalogPosition(); got != c.want {
+				t.Errorf("position %v, want %v", got, c.want)
+			}
+			if got := len(receiver.discovery.fetchQueue) > 0; got != c.wantFetch {
+				t.Errorf("fetch %v, want %v", got, c.wantFetch)
+			}
+		})
+	}
+}
