--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -274,3 +274,49 @@
 	}
 	return to
 }
+
+// applyEntries merges announced entries if this instance has all entries before
+// them; else it arranges a fetch. A relay forwards them first: the members downstream
+// must not wait until it has assembled its tables. An announcement that does not state
+// how recent its sender's copy is has no entries, and does not say that there are none.
+// The caller holds mu.
+func (c *Cluster) applyEntries(now time.Time, q *instance.AnnounceRequest) {
+	if c.discovery == nil {
+		return
+	}
+	base, entries := c.discovery.catalog.Position(), q.Entries.List()
+	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
+		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
+	}
+	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
+	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, c.isSenior(now, q.From.ID))
+	if len(entries) == 0 || c.discovery.catalog.Position() == base {
+		return
+	}
+	if base == q.BasePosition {
+		c.forwardAnnouncement(now, q)
+	} else {
+		c.forwardEntries(now, base)
+	}
+	c.assembleTables(sourceAnnouncement)
+}
+
+// forwardEntries announces the entries after base to the downstream members if
+// this instance is a relay. The caller holds mu.
+func (c *Cluster) forwardEntries(now time.Time, base catalog.Position) {
+	if c.currentTree(now).IsRelay(c.self.ID) {
+		c.announceEntries(now, base)
+	}
+}
+
+// forwardAnnouncement is forwardEntries for the entries of an announcement, which are not
+// encoded again. The caller holds mu.
+func (c *Cluster) forwardAnnouncement(now time.Time, q *instance.AnnounceRequest) {
+	if !c.currentTree(now).IsRelay(c.self.ID) {
+		return
+	}
+	a := c.newAnnouncement(now, q.BasePosition)
+	a.request.Entries = q.Entries
+	a.to = c.announceRecipients(now)
+	c.enqueueAnnouncement(a)
+}
--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -1,15 +1,12 @@
 package cluster
 
 import (
-	"context"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/freshness"
-	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
@@ -22,9 +19,6 @@
 	maxReaderCheckInterval = 500 * time.Millisecond
 	// minReaderCheckInterval is the shortest one.
 	minReaderCheckInterval = 20 * time.Millisecond
-	// pullInterval is the time between two requests to the other cells for what the
-	// store has accepted, while this instance reads and the store does not answer it.
-	pullInterval = 400 * time.Millisecond
 )
 
 // shouldReadFeed reports whether this instance is to read the feed of t now: it
@@ -154,99 +148,3 @@
 		d.fresh.RecordRead(d.readAt[catalog.Targets])
 	}
 }
-
-// pullLoop requests the entries of the other cells while this instance reads for its
-// cell and the store does not answer it, because the store may answer them.
-func (c *Cluster) pullLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.discovery.pullDue:
-		}
-		for sources := c.pullSources(); len(sources) > 0; sources = c.pullSources() {
-			c.pullCatalog(ctx, sources)
-			if !sleep(ctx, pullInterval, nil) {
-				return
-			}
-		}
-	}
-}
-
-// pullSources returns an instance of each other cell if this instance reads for its
-// cell and its reads fail.
-func (c *Cluster) pullSources() []member.Info {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	if !c.discovery.readsFail() || !c.actsAsReader(now) {
-		return nil
-	}
-	return c.pickCellContacts(now)
-}
-
-// readsFail reports whether the last read of any feed has failed.
-func (d *discovery) readsFail() bool {
-	for _, since := range d.failingSince {
-		if !since.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
-// pullCatalog requests the entries that this instance lacks from several instances at
-// once.
-func (c *Cluster) pullCatalog(ctx context.Context, sources []member.Info) {
-	p := pool.New().WithMaxGoroutines(maxConcurrentAnnouncements)
-	for _, from := range sources {
-		p.Go(func() { c.fetchCatalog(ctx, from) })
-	}
-	p.Wait()
-}
-
-// applyEntries merges announced entries if this instance has all entries before
-// them; else it arranges a fetch. A relay forwards them first: the members downstream
-// must not wait until it has assembled its tables. An announcement that does not state
-// how recent its sender's copy is has no entries, and does not say that there are none.
-// The caller holds mu.
-func (c *Cluster) applyEntries(now time.Time, q *instance.AnnounceRequest) {
-	if c.discovery == nil {
-		return
-	}
-	base, entries := c.discovery.catalog.Position(), q.Entries.List()
-	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
-		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
-	}
-	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
-	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, c.isSenior(now, q.From.ID))
-	if len(entries) == 0 || c.discovery.catalog.Position() == base {
-		return
-	}
-	if base == q.BasePosition {
-		c.forwardAnnouncement(now, q)
-	} else {
-		c.forwardEntries(now, base)
-	}
-	c.assembleTables(sourceAnnouncement)
-}
-
-// forwardEntries announces the entries after base to the downstream members if
-// this instance is a relay. The caller holds mu.
-func (c *Cluster) forwardEntries(now time.Time, base catalog.Position) {
-	if c.currentTree(now).IsRelay(c.self.ID) {
-		c.announceEntries(now, base)
-	}
-}
-
-// forwardAnnouncement is forwardEntries for the entries of an announcement, which are not
-// encoded again. The caller holds mu.
-func (c *Cluster) forwardAnnouncement(now time.Time, q *instance.AnnounceRequest) {
-	if !c.currentTree(now).IsRelay(c.self.ID) {
-		return
-	}
-	a := c.newAnnouncement(now, q.BasePosition)
-	a.request.Entries = q.Entries
-	a.to = c.announceRecipients(now)
-	c.enqueueAnnouncement(a)
-}
