Bound a read of the store by its progress, not by its length

Cause: a read had a fixed time, whatever it transfers: what was left of the long poll's 5.7 s, and 0.8 s for each read after a failed one.

Change: a read's response must begin within the old times; from then on it may not stand still for 0.8 s, nor take longer than 5 s in all. A silent store is found out as fast as before.

--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -244,6 +244,12 @@
 // runWithFeeds runs a test in virtual time on n instances with feeds in one
 // region, each in a zone of its own, starting when all have target t1.
 func runWithFeeds(t *testing.T, n int, test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
+	t.Helper()
+	runWithWrappedFeeds(t, n, func(f fakeFeed) platform.Feed { return f }, test)
+}
+
+// runWithWrappedFeeds is runWithFeeds with feeds that wrap has changed.
+func runWithWrappedFeeds(t *testing.T, n int, wrap func(f fakeFeed) platform.Feed, test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
 	t.Helper()
 	virtualtime.Test(t, func(t *testing.T) {
 		tc, r := newTestCluster(uint64(n)), newFakeFeedStore()
@@ -251,7 +257,7 @@
 		tc.cell = "osrednja"
 		tc.seeds = []string{"instance-000", "instance-001"}
 		tc.feeds = func(id string) []platform.Feed {
-			return []platform.Feed{fakeFeed{r, catalog.Operators, id}, fakeFeed{r, catalog.Targets, id}}
+			return []platform.Feed{wrap(fakeFeed{r, catalog.Operators, id}), wrap(fakeFeed{r, catalog.Targets, id})}
 		}
 		r.setTarget("t1", true)
 		startAll(tc, n, n)
--- a/pkg/cluster/feedread.go
+++ b/pkg/cluster/feedread.go
@@ -29,6 +29,11 @@
 	// feedProbeTimeout bounds the first read of a new feed reader, and the reads of
 	// a feed while they fail.
 	feedProbeTimeout = 800 * time.Millisecond
+	// feedStallTimeout bounds the time between two parts of a response of the store, and
+	// feedTransferTimeout the time for all of it: a large configuration takes a small
+	// instance longer to receive than it may wait for a response to begin.
+	feedStallTimeout    = 800 * time.Millisecond
+	feedTransferTimeout = 5 * time.Second
 	// feedRetryMin and feedRetryMax bound the backoff after a failed read of an instance
 	// that others rely on. The store answers one of them first, so that the others'
 	// reads, whose backoff is longer by feedRetryFactor, would only be a load on it.
@@ -123,7 +128,7 @@
 	t := f.Topic()
 	c.mu.Lock()
 	wait, limit := c.discovery.pollTimes(t)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := platform.WithProgressLimits(ctx, transferLimits(limit))
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
@@ -141,8 +146,13 @@
 	return read, err
 }
 
-// pollTimes returns how long the platform may hold the next read of t, and the timeout
-// of that read.
+// transferLimits returns the limits of a read whose response must begin within first.
+func transferLimits(first time.Duration) platform.ProgressLimits {
+	return platform.ProgressLimits{First: first, Next: feedStallTimeout, Transfer: feedTransferTimeout}
+}
+
+// pollTimes returns how long the platform may hold the next read of t, and the time
+// within which its response must begin.
 func (d *discovery) pollTimes(t catalog.Topic) (wait, limit time.Duration) {
 	switch {
 	case !d.failingSince[t].IsZero() || !d.confirmed[t]:
@@ -157,7 +167,7 @@
 
 // readSnapshot reads all entries of f and replaces those in the catalog.
 func (c *Cluster) readSnapshot(ctx context.Context, f platform.Feed) error {
-	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout)
+	callCtx, cancel := platform.WithProgressLimits(ctx, transferLimits(c.timing.StoreTimeout))
 	defer cancel()
 	sent := time.Now()
 	read, err := f.Snapshot(callCtx)
