Tell the members of a region only what a version of the configuration changes

Cause: an entry is whole. 2,800 routes take some 100 KB compressed; the feed reader of a region sends them to all others at once over a link that may carry 10 Mbit/s, which takes 2.3 s and more. Each call had 700 ms, whatever its size, and began again from its beginning; those who got nothing fetched the same from the same instance, then read it from the store and announced it to all others too.

Change: an announcement and a fetch hold the patch from the configuration before to the new one for those who have it (their position says so, and the patch names its base); who can't apply a patch fetches the whole. An instance of an earlier build refuses the new method and gets the whole as before. The timeout of an announcement grows with what its sender sends at once, so that no transfer is given up and begun again while it goes on.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -39,6 +39,12 @@
 	// lastPut the version in the store of the last entry that was not removed.
 	lastTarget *Target
 	lastPut    uint64
+	// previous is the configuration that this one has replaced, of the entry with the
+	// version previousVersion; nil if there was none. patch leads from it to this one.
+	previous        *Config
+	previousVersion uint64
+	patch           *ConfigPatch
+	patchComputed   bool
 }
 
 // deferTo makes e take the place of the entry at the given time.
@@ -144,8 +150,13 @@
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
 // just recovered. An entry that its target wrote before the one stored, or that only an
-// older copy of the store contains, only raises the version.
+// older copy of the store contains, only raises the version. A patch that is not for the
+// configuration of the catalog is left out; see CanApply.
 func (c *Catalog) apply(now time.Time, e *Entry) {
+	e, ok := c.withConfig(e)
+	if !ok {
+		return
+	}
 	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
 	switch {
@@ -162,6 +173,9 @@
 	if e.Removed && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
+	if e.Config != nil && old != nil && old.Config != nil {
+		stored.previous, stored.previousVersion = old.Config, old.Version
+	}
 	if e.Age > 0 {
 		stored.writtenAfter = now.Add(-e.Age)
 		if c.oldestChange.IsZero() || stored.writtenAfter.Before(c.oldestChange) {
--- a/pkg/catalog/entry.go
+++ b/pkg/catalog/entry.go
@@ -49,6 +49,8 @@
 	// target's entry may have expired in an outage and may be written again.
 	RemovalDelay time.Duration `json:"lapse_in,omitempty"`
 	Config       *Config       `json:"config,omitempty"`
+	// Patch takes the place of Config between instances; see Catalog.Patched.
+	Patch *ConfigPatch `json:"patch,omitempty"`
 	// EvacuatedZone is a zone whose targets must not receive requests.
 	EvacuatedZone string  `json:"evacuate,omitempty"`
 	Target        *Target `json:"target,omitempty"`
--- /dev/null
+++ b/pkg/catalog/patch.go
@@ -0,0 +1,92 @@
+package catalog
+
+import "github.com/jacinthramp/jacinthramp/pkg/table"
+
+// ConfigPatch is the change to a configuration from the one in the entry of version Base.
+type ConfigPatch struct {
+	Base uint64 `json:"base"`
+	// Version and Services are those of the new configuration.
+	Version  uint64                      `json:"version"`
+	Services []Service                   `json:"services"`
+	Routes   table.RowPatch[table.Route] `json:"routes,omitzero"`
+}
+
+// apply returns the configuration that the patch makes of base.
+func (p *ConfigPatch) apply(base *Config) *Config {
+	return &Config{Version: p.Version, Services: p.Services, Routes: table.ApplyRoutePatch(base.Routes, p.Routes)}
+}
+
+// maxPatchedFraction is the largest fraction of the routes that a patch may set; beyond it
+// the whole configuration is hardly larger.
+const maxPatchedFraction = 0.75
+
+// patchFromPrevious returns the patch from the configuration before that of s, or nil if
+// there is none or it is not worth it. It is computed once.
+func (s *storedEntry) patchFromPrevious() *ConfigPatch {
+	if s.previous == nil || s.Config == nil || s.patchComputed {
+		return s.patch
+	}
+	s.patchComputed = true
+	routes, ok := table.NewRoutePatch(s.previous.Routes, s.Config.Routes)
+	if ok && float64(len(routes.Set)) <= maxPatchedFraction*float64(len(s.Config.Routes)) {
+		s.patch = &ConfigPatch{Base: s.previousVersion, Version: s.Config.Version, Services: s.Config.Services, Routes: routes}
+	}
+	return s.patch
+}
+
+// Patched returns entries, which EntriesAfter has returned for p, with patches in place of
+// configurations for an instance that has all entries up to p, and whether there are any.
+func (c *Catalog) Patched(entries []Entry, p Position) (out []Entry, ok bool) {
+	for i := range entries {
+		e := &entries[i]
+		stored := c.entries[e.Topic][e.Key]
+		if e.Config == nil || stored == nil || stored.Config != e.Config || p[e.Topic] < stored.previousVersion {
+			continue
+		}
+		patch := stored.patchFromPrevious()
+		if patch == nil {
+			continue
+		}
+		if !ok {
+			out, ok = append([]Entry(nil), entries...), true
+		}
+		out[i].Config, out[i].Patch = nil, patch
+	}
+	return out, ok
+}
+
+// CanApply reports whether the patches among entries are for the configurations of the
+// catalog, or older than these. If not, the catalog needs the whole configuration.
+func (c *Catalog) CanApply(entries []Entry) bool {
+	for i := range entries {
+		e := &entries[i]
+		if e.Patch == nil {
+			continue
+		}
+		old := c.entries[e.Topic][e.Key]
+		if old == nil || e.Version > old.Version && !old.isBaseOf(e.Patch) {
+			return false
+		}
+	}
+	return true
+}
+
+// isBaseOf reports whether p is a patch for the configuration of s.
+func (s *storedEntry) isBaseOf(p *ConfigPatch) bool {
+	return s.Config != nil && s.Version == p.Base
+}
+
+// withConfig returns e with the configuration that its patch results in. ok is false if the
+// patch is not for the configuration of the catalog.
+func (c *Catalog) withConfig(e *Entry) (full *Entry, ok bool) {
+	if e.Patch == nil {
+		return e, true
+	}
+	old := c.entries[e.Topic][e.Key]
+	if old == nil || !old.isBaseOf(e.Patch) {
+		return nil, false
+	}
+	applied := *e
+	applied.Config, applied.Patch = e.Patch.apply(old.Config), nil
+	return &applied, true
+}
--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -24,7 +24,11 @@
 	request *instance.AnnounceRequest
 	// madeAt is when request was made: the ages in it hold for that time.
 	madeAt time.Time
-	to     []member.Info
+	// patched are the entries of request with patches; nil if there are none to make.
+	patched *instance.EncodedEntries
+	to      []member.Info
+	// recipients is the number of members to which the announcement is sent at once.
+	recipients int
 }
 
 // ordered reports whether the receivers need all announcements of this kind in their
@@ -64,6 +68,9 @@
 	entries := c.discovery.catalog.EntriesAfter(now, base)
 	a := c.newAnnouncement(now, base)
 	a.request.Entries = instance.NewEncodedEntries(entries)
+	if patched, ok := c.discovery.catalog.Patched(entries, base); ok {
+		a.patched = instance.NewEncodedEntries(patched)
+	}
 	return a, len(entries) > 0
 }
 
@@ -176,6 +183,7 @@
 // sendAnnouncement sends an announcement to all its recipients at once, by goroutines of
 // calls.
 func (c *Cluster) sendAnnouncement(ctx context.Context, calls *conc.WaitGroup, a announcement) {
+	a.recipients = len(a.to)
 	for _, m := range a.to {
 		calls.Go(func() { c.deliver(ctx, calls, m, a) })
 	}
@@ -198,11 +206,7 @@
 func (c *Cluster) announceInAttempts(ctx context.Context, calls *conc.WaitGroup, m member.Info, a announcement) {
 	began := time.Now()
 	for attempt := range announceAttempts {
-		request := *a.request
-		if request.HasFeedReader {
-			request.FeedReaderAge += time.Since(a.madeAt)
-		}
-		err := c.call(ctx, m, instance.MethodAnnounce, &request, &instance.AnnounceReply{})
+		err := c.sendTo(ctx, m, &a)
 		if !isUnavailable(err) || !a.ordered() {
 			return
 		}
@@ -285,6 +289,9 @@
 		return
 	}
 	base, entries := c.discovery.catalog.Position(), q.Entries.List()
+	if !c.discovery.canApply(q.From, entries) {
+		return
+	}
 	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
 		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
 	}
@@ -317,6 +324,10 @@
 	}
 	a := c.newAnnouncement(now, q.BasePosition)
 	a.request.Entries = q.Entries
+	if q.Entries.HasPatch() {
+		a.request.Entries = instance.NewEncodedEntries(c.discovery.catalog.EntriesAfter(now, q.BasePosition))
+		a.patched = q.Entries
+	}
 	a.to = c.announceRecipients(now)
 	c.enqueueAnnouncement(a)
 }
--- a/pkg/cluster/catalogfetch.go
+++ b/pkg/cluster/catalogfetch.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// canApply reports whether the patches among entries can be applied. If not, it queues a
+// fetch of whole configurations from the instance that has sent them. The caller holds mu.
+func (d *discovery) canApply(from member.Info, entries []catalog.Entry) bool {
+	if d.catalog.CanApply(entries) {
+		return true
+	}
+	d.needsWhole = true
+	d.requestFetch(from)
+	return false
+}
+
 // catalogPosition returns the position up to which this instance has all
 // entries; zero without feeds. The caller holds mu.
 func (c *Cluster) catalogPosition() catalog.Position {
@@ -89,7 +100,7 @@
 // feed reader or a relay, this instance announces them to the other members.
 func (c *Cluster) fetchCatalog(ctx context.Context, from member.Info) {
 	c.mu.Lock()
-	q := &instance.CatalogRequest{HavePosition: c.discovery.catalog.Position()}
+	q := &instance.CatalogRequest{HavePosition: c.discovery.catalog.Position(), AcceptsPatches: !c.discovery.needsWhole}
 	c.mu.Unlock()
 	sent, r := time.Now(), &instance.CatalogReply{}
 	if err := c.call(ctx, from, instance.MethodCatalog, q, r); err != nil {
@@ -100,6 +111,10 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	base := c.discovery.catalog.Position()
+	if !c.discovery.canApply(from, r.Entries) {
+		return
+	}
+	c.discovery.needsWhole = false
 	c.discovery.catalog.MergeAll(now, r.Entries, r.Position)
 	c.observeFreshness(sent, r.FeedFreshness, r.Position, false)
 	if c.actsAsReader(now) {
@@ -125,6 +140,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	entries := c.discovery.catalog.EntriesAfter(now, q.HavePosition)
+	if patched, ok := c.discovery.catalog.Patched(entries, q.HavePosition); ok && q.AcceptsPatches {
+		entries = patched
+	}
 	return &instance.CatalogReply{Entries: entries, Position: c.discovery.catalog.Position(), FeedFreshness: c.feedFreshness(now)}, nil
 }
 
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -324,7 +324,12 @@
 // call sends one call to another instance and records in the view whether the
 // instance was reached.
 func (c *Cluster) call(ctx context.Context, to member.Info, m instance.Method, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timing.CallTimeout)
+	return c.callWithin(ctx, c.timing.CallTimeout, to, m, params, result)
+}
+
+// callWithin is call with a timeout.
+func (c *Cluster) callWithin(ctx context.Context, timeout time.Duration, to member.Info, m instance.Method, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := c.cfg.Peers.Call(ctx, to.PeerAddress, m, params, result)
 	c.mu.Lock()
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -68,12 +68,17 @@
 	// which entries are being sent, by id.
 	announceQueue chan announcement
 	deliveries    map[string]*delivery
+	patchRefusals patchRefusals
+	// needsWhole is set while this instance lacks a configuration that a patch it has
+	// received is for.
+	needsWhole bool
 }
 
 func newDiscovery() *discovery {
 	return &discovery{
 		catalog: catalog.New(), fetchQueue: make(chan member.Info, 1), pullDue: make(chan struct{}, 1),
 		announceQueue: make(chan announcement, maxQueuedAnnouncements), deliveries: map[string]*delivery{},
+		patchRefusals: patchRefusals{},
 	}
 }
 
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -103,6 +103,8 @@
 	loss     float64
 	// cut reports whether messages from one address to another are lost.
 	cut func(from, to string) bool
+	// links are the instances' links; nil if they are of any speed.
+	links *fakeLinks
 	// measureFrames is set to count the size of messages as encoded on a
 	// connection, which is slow; otherwise the size of their JSON is counted.
 	measureFrames atomic.Bool
@@ -166,6 +168,9 @@
 		return err
 	}
 	c.net.countMessage(m, c.from, to, c.net.sizeOf(data, &jsonrpc2.Request{Method: string(m), Params: (*json.RawMessage)(&data)}))
+	if err := c.net.transfer(ctx, len(data), c.from, to); err != nil {
+		return err
+	}
 	h, err := c.net.deliver(ctx, c.from, to)
 	if err != nil {
 		return err
@@ -178,6 +183,9 @@
 		return err
 	}
 	c.net.countMessage(m, to, c.from, c.net.sizeOf(data, &jsonrpc2.Response{Result: (*json.RawMessage)(&data)}))
+	if err := c.net.transfer(ctx, len(data), to, c.from); err != nil {
+		return err
+	}
 	if _, err := c.net.deliver(ctx, to, c.from); err != nil {
 		return err
 	}
@@ -203,6 +211,18 @@
 	return h, nil
 }
 
+// transfer takes the time that a message of a size takes over the links of its sender and
+// its receiver, which is none unless links is set.
+func (n *fakeNet) transfer(ctx context.Context, size int, from, to string) error {
+	n.mu.Lock()
+	links := n.links
+	n.mu.Unlock()
+	if links == nil {
+		return nil
+	}
+	return links.transfer(ctx, size, from, to)
+}
+
 // testNode is one running instance.
 type testNode struct {
 	*Cluster
--- a/pkg/cluster/slowtransfer_test.go
+++ b/pkg/cluster/slowtransfer_test.go
@@ -23,6 +23,14 @@
 // slowFeed is a feed of operators over a slow link.
 type slowFeed struct{ fakeFeed }
 
+// overSlowLink returns f, over a slow link if it is the operators' feed.
+func overSlowLink(f fakeFeed) platform.Feed {
+	if f.topic == catalog.Operators {
+		return slowFeed{f}
+	}
+	return f
+}
+
 // Changes implements platform.Feed.
 func (f slowFeed) Changes(ctx context.Context, after uint64, wait time.Duration) (platform.FeedRead, error) {
 	read, err := f.fakeFeed.Changes(ctx, after, wait)
@@ -58,13 +66,7 @@
 	const gap = 700 * time.Millisecond
 	for _, size := range leaveBounds[:2] {
 		t.Run(fmt.Sprintf("%d instances", size.instances), func(t *testing.T) {
-			slow := func(f fakeFeed) platform.Feed {
-				if f.topic == catalog.Operators {
-					return slowFeed{f}
-				}
-				return f
-			}
-			runWithWrappedFeeds(t, size.instances, slow, func(t *testing.T, tc *testCluster, r *fakeFeedStore) {
+			runWithWrappedFeeds(t, size.instances, overSlowLink, func(t *testing.T, tc *testCluster, r *fakeFeedStore) {
 				time.Sleep(settleTime / 2)
 				for version := uint64(2); version < 12; version++ {
 					time.Sleep(time.Duration(version) * gap)
--- a/pkg/peer/instance/dispatch.go
+++ b/pkg/peer/instance/dispatch.go
@@ -16,7 +16,7 @@
 	switch m {
 	case MethodHeartbeat:
 		return decodeAndHandle(ctx, params, h.Heartbeat)
-	case MethodAnnounce:
+	case MethodAnnounce, MethodAnnouncePatch:
 		return decodeAndHandle(ctx, params, h.Announce)
 	case MethodTables:
 		return decodeAndHandle(ctx, params, h.Tables)
--- a/pkg/peer/instance/entries.go
+++ b/pkg/peer/instance/entries.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
@@ -39,6 +40,21 @@
 	return e.entries
 }
 
+// Size returns the size of the encoded entries in bytes; zero without any, or if they can't
+// be encoded.
+func (e *EncodedEntries) Size() int {
+	if e == nil {
+		return 0
+	}
+	encoded, _ := e.MarshalJSON()
+	return len(encoded)
+}
+
+// HasPatch reports whether there is a patch among the entries.
+func (e *EncodedEntries) HasPatch() bool {
+	return slices.ContainsFunc(e.List(), func(entry catalog.Entry) bool { return entry.Patch != nil })
+}
+
 // MarshalJSON returns the entries as a JSON array or, from minEntriesCompressSize, as a
 // string with the compressed array in base64.
 func (e *EncodedEntries) MarshalJSON() ([]byte, error) {
--- a/pkg/peer/instance/messages.go
+++ b/pkg/peer/instance/messages.go
@@ -24,12 +24,14 @@
 const (
 	MethodHeartbeat Method = "instance.heartbeat"
 	MethodAnnounce  Method = "instance.announce"
-	MethodTables    Method = "instance.tables"
-	MethodLend      Method = "instance.lend"
-	MethodPromise   Method = "instance.promise"
-	MethodConsent   Method = "instance.consent"
-	MethodZone      Method = "instance.zone"
-	MethodCatalog   Method = "instance.catalog"
+	// MethodAnnouncePatch is MethodAnnounce with patches among the entries.
+	MethodAnnouncePatch Method = "instance.announce_patch"
+	MethodTables        Method = "instance.tables"
+	MethodLend          Method = "instance.lend"
+	MethodPromise       Method = "instance.promise"
+	MethodConsent       Method = "instance.consent"
+	MethodZone          Method = "instance.zone"
+	MethodCatalog       Method = "instance.catalog"
 )
 
 // HeartbeatRequest is sent periodically by every instance to the watchers of its cell,
@@ -228,6 +230,8 @@
 // CatalogRequest requests the catalog entries after HavePosition.
 type CatalogRequest struct {
 	HavePosition catalog.Position `json:"have"`
+	// AcceptsPatches is set if the reply may hold patches of configurations.
+	AcceptsPatches bool `json:"patches,omitempty"`
 }
 
 // CatalogReply is the reply to a CatalogRequest. It holds the entries, and the position
--- a/pkg/table/patch.go
+++ b/pkg/table/patch.go
@@ -64,6 +64,18 @@
 	return t
 }
 
+// NewRoutePatch returns the patch from old to new, and false if several routes of either
+// have the same name, which a patch can't tell apart.
+func NewRoutePatch(old, new []Route) (RowPatch[Route], bool) {
+	if len(indexRows(old, routeKey)) != len(old) || len(indexRows(new, routeKey)) != len(new) {
+		return RowPatch[Route]{}, false
+	}
+	return newRowPatch(old, new, routeKey, equalRoutes), true
+}
+
+// ApplyRoutePatch returns the result of applying p to old, which it does not modify.
+func ApplyRoutePatch(old []Route, p RowPatch[Route]) []Route { return p.apply(old, routeKey) }
+
 // equalRoutes reports whether a and b are equal. Nil and empty pools are the same.
 func equalRoutes(a, b *Route) bool {
 	x, y := *a, *b
