Don't compress again what is compressed already

A part of a large message is compressed first now, and the message sent as it is if that gains nothing.

--- a/pkg/peer/instance/codec.go
+++ b/pkg/peer/instance/codec.go
@@ -27,6 +27,10 @@
 	payloadJSON = '{'
 	// minCompressSize is the size in bytes below which compression gains nothing.
 	minCompressSize = 32
+	// minSampledSize is the size in bytes from which a part of sampleSize is compressed
+	// first: most large messages hold entries that are compressed already.
+	minSampledSize = 16 << 10
+	sampleSize     = 4 << 10
 )
 
 // dictionary1 contains the names and values that most messages repeat. Each message
@@ -63,7 +67,7 @@
 // compressPayload returns data compressed, with payloadDeflate1 before it, or data
 // itself if compression does not make it shorter.
 func compressPayload(data []byte) ([]byte, error) {
-	if len(data) < minCompressSize {
+	if len(data) < minCompressSize || !isCompressible(data) {
 		return data, nil
 	}
 	buf := bytes.NewBuffer(make([]byte, 0, len(data)))
@@ -77,6 +81,16 @@
 	return buf.Bytes(), nil
 }
 
+// isCompressible reports whether compression is likely to make data shorter.
+func isCompressible(data []byte) bool {
+	if len(data) < minSampledSize {
+		return true
+	}
+	sample := data[len(data)/2:][:sampleSize]
+	var buf bytes.Buffer
+	return flate.StatelessDeflate(&buf, sample, true, nil) != nil || buf.Len() < sampleSize
+}
+
 // WriteObject writes the frame of obj. A message above MaxMessageBytes fails with
 // fault.KindBodyTooLarge before any byte of it is sent.
 func (c Codec) WriteObject(stream io.Writer, obj any) error {
--- a/pkg/peer/instance/codec_test.go
+++ b/pkg/peer/instance/codec_test.go
@@ -179,3 +179,22 @@
 		t.Errorf("%d bytes of frame for %d bytes of JSON, want a fifth at most; %v", len(frame), len(plain), err)
 	}
 }
+
+// TestCompressedEntriesAreNotCompressedAgain guards against the time that an announcer spends
+// for each of its recipients on compressing what is compressed already.
+func TestCompressedEntriesAreNotCompressedAgain(t *testing.T) {
+	plain, err := json.Marshal(configEntries(1400))
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := NewEncodedEntries(configEntries(8000)).MarshalJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !isCompressible(plain) {
+		t.Error("the JSON of a configuration counts as compressed")
+	}
+	if len(encoded) < minSampledSize || isCompressible(encoded) {
+		t.Error("encoded entries count as not compressed")
+	}
+}
