Keep the heads of responses in the shared memory until the responses end

What callers saw: nothing yet; an instance can run out of memory, and all its requests end with it. A target that sends large heads and bodies that do not end makes the instance keep each head for as long as its response lasts.

Cause: the memory that response heads share was returned once a head had been read, while the head itself stays in memory until its response ends. Only the heads that were being read at one time were bounded.

Change: a head keeps its reservation until its exchange ends. The counter moves to pkg/peer/memory, for other bytes that many connections keep together. The usual size of a head, 8 KiB with the overhead of its lines, is not counted, as before, so usual responses reserve nothing.

--- a/pkg/peer/upstream/dialer.go
+++ b/pkg/peer/upstream/dialer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/conngen"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 )
 
 // Options configures a Dialer and the pools that use it.
@@ -17,8 +18,8 @@
 	// the interim responses before it. Default 256 KiB.
 	MaxResponseHeaderBytes int64
 	// ResponseHeaderMemory limits the total memory, in bytes, of the response
-	// headers being read on all connections. The first unreservedHeaderBytes of
-	// each header don't count. Default 16 MiB.
+	// headers on all connections. The usual size of a header doesn't count.
+	// Default 16 MiB.
 	ResponseHeaderMemory int64
 	// ConnectionLimits sets when a connection counts as stalled and how long it
 	// may be idle before reuse. Default conngen.DefaultLimits.
@@ -49,7 +50,7 @@
 type Dialer struct {
 	netDialer       net.Dialer
 	maxHeaderBytes  int64
-	headerMemory    *headerMemory
+	headerMemory    *memory.Budget
 	limits          conngen.Limits
 	now             func() time.Time
 	reuseSuspension time.Duration
@@ -83,12 +84,15 @@
 		netDialer:       d,
 		reuseSuspension: o.ReuseSuspension,
 		maxHeaderBytes:  o.MaxResponseHeaderBytes,
-		headerMemory:    newHeaderMemory(o.ResponseHeaderMemory),
+		headerMemory:    memory.NewBudget(o.ResponseHeaderMemory),
 		limits:          o.ConnectionLimits,
 		now:             o.Now,
 	}
 }
 
+// HeaderMemory returns the memory that the response headers of all connections share.
+func (d *Dialer) HeaderMemory() *memory.Budget { return d.headerMemory }
+
 // conn is one connection of a pool.
 type conn struct {
 	wire       *wireConn
--- a/pkg/peer/upstream/pool.go
+++ b/pkg/peer/upstream/pool.go
@@ -178,6 +178,7 @@
 // release returns c to the pool after an exchange, or closes it if reuse is false
 // or the pool can't keep it.
 func (p *Pool) release(c *conn, reuse bool) {
+	c.wire.releaseHeader()
 	p.mu.Lock()
 	delete(p.busy, c)
 	c.idleSince = p.dialer.now()
@@ -195,6 +196,7 @@
 
 // discard closes c after a failed exchange.
 func (p *Pool) discard(c *conn) {
+	c.wire.releaseHeader()
 	c.close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 )
 
 // wireConn is a connection that records which parts of the current exchange have
@@ -33,11 +35,11 @@
 	headerBytesLeft int64
 	// headerMemory is shared by all connections; headerUse is what the current
 	// header uses of it.
-	headerMemory *headerMemory
-	headerUse    headerUse
+	headerMemory *memory.Budget
+	headerUse    memory.Head
 }
 
-func newWireConn(c net.Conn, m *headerMemory, now func() time.Time) *wireConn {
+func newWireConn(c net.Conn, m *memory.Budget, now func() time.Time) *wireConn {
 	w := &wireConn{Conn: c, headerBytesLeft: -1, headerMemory: m, now: now}
 	if s, ok := c.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
@@ -59,11 +61,11 @@
 // beginHeader limits the following reads to a total of limit bytes.
 func (c *wireConn) beginHeader(limit int64) { c.headerBytesLeft = limit }
 
-// endHeader removes the limit of beginHeader and releases the header's memory.
-func (c *wireConn) endHeader() {
-	c.headerBytesLeft = -1
-	c.headerMemory.release(&c.headerUse)
-}
+// endHeader removes the limit of beginHeader. The header keeps its memory.
+func (c *wireConn) endHeader() { c.headerBytesLeft = -1 }
+
+// releaseHeader releases the memory of the current response's header.
+func (c *wireConn) releaseHeader() { c.headerUse.Release(c.headerMemory) }
 
 // checkMaySend returns an error and records its reason if the options of the current
 // exchange do not allow the request to be sent now.
@@ -116,7 +118,7 @@
 	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= int64(n)
-		if !c.headerMemory.reserve(&c.headerUse, b[:n]) {
+		if !c.headerUse.Add(c.headerMemory, b[:n]) {
 			return 0, errHeaderMemoryExhausted
 		}
 	}
