Keep no more than 512 bytes of what a target sent in an error

What callers saw: a refusal that quotes up to 256 KiB of what their target sent.

Cause: the errors of the HTTP parser, and some of this package, quote the line, the status or the name of a field that was wrong. The error outlives the head's share of the memory, and behind pipelined requests it waits for the turn of its response.

Change: the text of a cause is cut, after the failure has been classified; errors of connections are short and stay as they are.

--- a/pkg/peer/target/probe.go
+++ b/pkg/peer/target/probe.go
@@ -89,7 +89,7 @@
 	defer resp.Close()
 	c.preventReuseAfterRefusal(resp)
 	if name, ok := c.isFromTarget(resp.Header); !ok {
-		return probeResponse{}, nil, fault.New(fault.KindTargetGarbage, "target %s: probe response is from server %q", c.name, name)
+		return probeResponse{}, nil, fault.New(fault.KindTargetGarbage, "target %s: probe response is from server %s", c.name, quote(name))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeBodyBytes+1))
 	if err == nil && len(body) > maxProbeBodyBytes {
--- a/pkg/peer/target/response.go
+++ b/pkg/peer/target/response.go
@@ -74,12 +74,12 @@
 func (c *Client) mismatchReason(resp *upstream.Response, id string, notRun bool) string {
 	dialect := &c.dialect
 	if name, ok := c.isFromTarget(resp.Header); !ok {
-		return "response is from server " + strconv.Quote(name)
+		return "response is from server " + quote(name)
 	}
 	if dialect.EchoesRequestID && id != "" {
 		got := resp.Header.Get(dialect.RequestID)
 		if got != id && (got != "" || !notRun && resp.StatusCode != http.StatusMisdirectedRequest) {
-			return "response has request id " + strconv.Quote(got) + " instead of the one sent"
+			return "response has request id " + quote(got) + " instead of the one sent"
 		}
 	}
 	if dialect.NoContentEncoding && resp.Header.Get("Content-Encoding") != "" {
@@ -91,6 +91,12 @@
 	return ""
 }
 
+// maxQuotedBytes is the number of bytes that errors quote of a header field.
+const maxQuotedBytes = 128
+
+// quote returns the start of text in quotes.
+func quote(text string) string { return strconv.Quote(text[:min(len(text), maxQuotedBytes)]) }
+
 // isFromTarget returns the target name in a response header and whether the response
 // may be from this target. A response without a name is accepted until the target
 // has sent its name once.
--- a/pkg/peer/upstream/failure.go
+++ b/pkg/peer/upstream/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // Reason classifies the failure of an exchange, that is, of one request and its
@@ -45,6 +46,19 @@
 	Err       error
 }
 
+// maxCauseBytes is the number of bytes that are kept of the text of a cause. The parsers of
+// the library quote what the server has sent.
+const maxCauseBytes = 512
+
+// shortCause returns err, or its first maxCauseBytes if its text is longer.
+func shortCause(err error) error {
+	text := err.Error()
+	if len(text) <= maxCauseBytes {
+		return err
+	}
+	return errors.New(strings.Clone(text[:maxCauseBytes]))
+}
+
 // Error returns the reason and the cause.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s (sent=%t): %v", e.Reason, e.MaybeSent, e.Err)
--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		stopCancel()
 		awaitBodyWrite(ctx, writeDone)
-		sendErr := &Error{Reason: classifyFailure(ctx, r, err, c.wire), MaybeSent: c.wire.writeStarted.Load(), Err: err}
+		sendErr := &Error{Reason: classifyFailure(ctx, r, err, c.wire), MaybeSent: c.wire.writeStarted.Load(), Err: shortCause(err)}
 		p.discard(c)
 		return nil, sendErr
 	}
@@ -252,5 +252,5 @@
 	case isConnectionError(err):
 		return &Error{Reason: ReasonConnectionLost, MaybeSent: true, Err: err}
 	}
-	return &Error{Reason: ReasonInvalidResponse, MaybeSent: true, Err: err}
+	return &Error{Reason: ReasonInvalidResponse, MaybeSent: true, Err: shortCause(err)}
 }
