Bound the memory of the request headers of all callers together

What callers saw: nothing yet; callers that send headers without end make an instance run out of memory, and the requests of all others end with it.

Cause: each header was bounded, at 64 KiB and a buffer, but not their sum. Short lines take many times their text: 3,900 connections could keep some gigabytes for the header timeout of 5 s.

Evidence: TestHeadersOfAllConnectionsAreBounded on the code before: 300 connections, heap and stacks grew by 310 MB, limit 46 MB. Now 13 MB with 8 MiB of shared memory, while other callers are served.

Change: the headers of all callers share 16 MiB beyond the usual size of each, 8 KiB with the overhead of its lines, from their first byte until their request has been answered. A header for which there is no room is refused with 503: it has not run, and can't be served without being kept. A line and a counter tell operators, also about the memory of response headers.

--- /dev/null
+++ b/pkg/node/memory.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
+)
+
+const (
+	// requestHeaderMemory bounds, in bytes, the memory that the headers of all requests of
+	// callers take together beyond the usual size of each.
+	requestHeaderMemory = 16 << 20
+	// memoryReportInterval is the shortest time between two reports on one budget.
+	memoryReportInterval = time.Second
+)
+
+// The uses of bounded memory, as they appear in metrics and logs.
+const (
+	useRequestHeaders  = "request-headers"
+	useResponseHeaders = "response-headers"
+)
+
+// memoryReport reports the refused reservations of one budget.
+type memoryReport struct {
+	use    string
+	budget *memory.Budget
+	// reported is how many refusals have been reported, lastReport when the last were.
+	reported   int64
+	lastReport time.Time
+}
+
+// memoryReports returns a report on each budget of n.
+func (n *Node) memoryReports() []memoryReport {
+	return []memoryReport{
+		{use: useRequestHeaders, budget: n.requestHeaders},
+		{use: useResponseHeaders, budget: n.dialer.HeaderMemory()},
+	}
+}
+
+// reportMemory counts and logs the reservations that have been refused since the last
+// report.
+func (n *Node) reportMemory(now time.Time, r *memoryReport) {
+	refused := r.budget.Refused() - r.reported
+	if refused == 0 || now.Sub(r.lastReport) < memoryReportInterval {
+		return
+	}
+	r.reported += refused
+	r.lastReport = now
+	if n.metrics != nil {
+		n.metrics.CountMemoryRefusals(r.use, refused)
+	}
+	n.log.Warn("memory for received bytes used up", zap.String("use", r.use), zap.Int64("refused", refused))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
@@ -96,6 +97,8 @@
 	hasTables atomic.Bool
 	dialect   wire.Dialect
 	endpoints []Endpoint
+	// requestHeaders is the memory of the headers of callers' requests.
+	requestHeaders *memory.Budget
 }
 
 // queueTickInterval is the interval at which queued requests are checked while
@@ -127,6 +130,7 @@
 	if n.direct() {
 		n.core.EnableDirect(directPolicy(c.Settings))
 	}
+	n.requestHeaders = memory.NewBudget(requestHeaderMemory)
 	n.stopping, n.announceStop = context.WithCancel(context.Background())
 	n.homeFinder = newHomeFinder(c.Instances, n.dialer)
 	n.drains = newDrainTracker(n.recordDrain)
--- a/pkg/node/probe.go
+++ b/pkg/node/probe.go
@@ -77,11 +77,12 @@
 	})
 }
 
-// sweepLoop checks the connections to targets and instances, and the drains in
-// progress, every sweepInterval until ctx ends.
+// sweepLoop checks the connections to targets and instances, the drains in progress and
+// the bounded memory, every sweepInterval until ctx ends.
 func (n *Node) sweepLoop(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	reports := n.memoryReports()
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,5 +97,8 @@
 			c.Sweep()
 		}
 		n.drains.recordEnded(n.now())
+		for i := range reports {
+			n.reportMemory(n.now(), &reports[i])
+		}
 	}
 }
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -99,6 +99,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout.Std(),
 		IdleTimeout:       l.IdleTimeout.Std(),
 		MaxHeaderBytes:    l.MaxHeaderBytes,
+		HeaderMemory:      n.requestHeaders,
 		ErrorLog:          log.New(zapWriter{n.log}, "", 0),
 	}
 }
--- a/pkg/peer/caller/pipeline/conn.go
+++ b/pkg/peer/caller/pipeline/conn.go
@@ -36,7 +36,7 @@
 type conn struct {
 	server      *Server
 	netConn     net.Conn
-	headerLimit *limitedReader
+	headerLimit *headerReader
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	ctx         context.Context
@@ -63,21 +63,13 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, netConn: nc, headerLimit: &limitedReader{r: nc, remaining: -1}, slots: make(chan struct{}, maxConcurrentRequests)}
+	c := &conn{server: s, netConn: nc, headerLimit: &headerReader{r: nc, remaining: -1, memory: s.HeaderMemory}, slots: make(chan struct{}, maxConcurrentRequests)}
 	c.br = bufio.NewReaderSize(c.headerLimit, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
-// limitedReader limits the bytes read for a request's header.
-type limitedReader struct {
-	r io.Reader
-	// remaining is the number of bytes that may still be read; negative means no
-	// limit.
-	remaining int
-}
-
 // errUnsupportedVersion is returned for a request that is not HTTP/1.x.
 var errUnsupportedVersion = errors.New("unsupported HTTP version")
 
@@ -85,24 +77,6 @@
 // transfer encoding; the type of that error is not exported.
 const unsupportedEncodingText = "unsupported transfer encoding"
 
-// errHeaderTooLarge is returned for a header larger than Server.MaxHeaderBytes.
-var errHeaderTooLarge = errors.New("request header is too large")
-
-// Read implements io.Reader. It returns errHeaderTooLarge at the limit.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if l.remaining > 0 && len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= n
-	}
-	return n, err
-}
-
 // serve reads and handles requests until no further request is read, waits for
 // the responses and closes the connection.
 func (c *conn) serve() {
@@ -212,13 +186,9 @@
 	if err := c.netConn.SetReadDeadline(time.Now().Add(c.server.ReadHeaderTimeout)); err != nil {
 		return nil, err
 	}
-	c.headerLimit.remaining = c.server.MaxHeaderBytes + bufferBytes
-	r, err := http.ReadRequest(c.br)
-	if c.headerLimit.remaining == 0 {
-		err = errHeaderTooLarge
-	}
-	c.headerLimit.remaining = -1
+	r, err := c.readHeader()
 	if err != nil {
+		c.headerLimit.releaseHead()
 		return nil, err
 	}
 	if r.ProtoMajor != 1 {
@@ -277,6 +247,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	resp := newResponse(c, r, c.lastResponse)
+	resp.head = c.headerLimit.takeHead()
 	c.lastResponse = resp
 	c.inFlight++
 	c.closing = c.closing || resp.closeRequested
@@ -299,6 +270,7 @@
 		c.abort()
 	}
 	resp.cancel()
+	resp.head.Release(c.server.HeaderMemory)
 	close(resp.done)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -335,6 +307,8 @@
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
 		status = "431 Request Header Fields Too Large"
+	case errors.Is(err, errHeaderMemoryUsedUp):
+		status = "503 Service Unavailable\r\nRetry-After: 1"
 	case errors.Is(err, errUnsupportedVersion):
 		status = "505 HTTP Version Not Supported"
 	case strings.Contains(err.Error(), unsupportedEncodingText):
--- a/pkg/peer/caller/pipeline/connclose.go
+++ b/pkg/peer/caller/pipeline/connclose.go
@@ -9,6 +9,7 @@
 func (c *conn) close() {
 	c.handlers.Wait()
 	c.cancel()
+	c.headerLimit.releaseHead()
 	c.mu.Lock()
 	mustLinger := c.mayHaveUnread && !c.broken
 	c.mu.Unlock()
--- a/pkg/peer/caller/pipeline/pipeline_test.go
+++ b/pkg/peer/caller/pipeline/pipeline_test.go
@@ -21,12 +21,19 @@
 // startServer serves h until the end of the test and returns the server and its
 // address.
 func startServer(t *testing.T, h http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	return startServerWith(t, h, func(*Server) {})
+}
+
+// startServerWith is startServer with a server that configure changes.
+func startServerWith(t *testing.T, h http.HandlerFunc, configure func(*Server)) (*Server, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	configure(s)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ln) }()
 	t.Cleanup(func() {
--- a/pkg/peer/caller/pipeline/response.go
+++ b/pkg/peer/caller/pipeline/response.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
@@ -50,6 +51,8 @@
 	req    *http.Request
 	cancel context.CancelFunc
 	body   *body
+	// head is the memory of the request's header.
+	head memory.Head
 	// previousDone is closed when all earlier responses have been written or have
 	// failed, and done when this one has.
 	previousDone <-chan struct{}
--- a/pkg/peer/caller/pipeline/server.go
+++ b/pkg/peer/caller/pipeline/server.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 )
 
 // Server serves the connections of one listener. Handler, the timeouts and
@@ -27,6 +29,10 @@
 	// MaxHeaderBytes limits the size of a request's header; the effective limit is
 	// higher by up to bufferBytes.
 	MaxHeaderBytes int
+	// HeaderMemory is shared by the headers of all requests from their first byte until
+	// they are answered. A request for which it has no room is refused with 503. Nil
+	// means that there is no bound.
+	HeaderMemory *memory.Budget
 	// ErrorLog receives the panics of handlers; nil discards them.
 	ErrorLog *log.Logger
 
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -149,5 +149,10 @@
 // CountRateLimitedRequest counts an attempt at a target that has announced a rate limit.
 func (m *Metrics) CountRateLimitedRequest() { m.scope.Counter("rate_limited_requests").Inc(1) }
 
+// CountMemoryRefusals counts reservations of bounded memory that were refused.
+func (m *Metrics) CountMemoryRefusals(use string, n int64) {
+	m.scope.Tagged(map[string]string{"use": use}).Counter("memory_refusals").Inc(n)
+}
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
