Bound the parts of response bodies in memory for all requests together

What callers saw: nothing yet; bodies without end behind pipelined requests, or for callers that don't read, make an instance run out of memory.

Cause: up to 32 KiB of each body are read before its header is relayed, and wait there for the responses before it; each copy to a caller has a buffer of 32 KiB for as long as the caller doesn't read. Nothing bounded their sum: callers can have 16 requests on each connection.

Change: these parts share 24 MiB. A body for which there is no room is passed on as it comes, and a copy uses 4 KiB, so no request fails for it; a body that breaks off then ends its connection, as large bodies always did.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -196,6 +196,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	a.prefix.release()
 	n := a.x.node
 	n.latencies.observe(a.decision, a.result)
 	n.waiters.deliver(n.core.Done(n.now(), a.decision, a.result))
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	x := &exchange{
-		node: n, snapshot: snap, forwardedHome: forwardedHome, w: w, httpReq: r, ctx: ctx, relay: caller.NewResponseRelay(w),
+		node: n, snapshot: snap, forwardedHome: forwardedHome, w: w, httpReq: r, ctx: ctx, relay: caller.NewResponseRelay(w, n.bodies),
 		req: steer.Request{
 			Route:      route,
 			Pool:       pool,
--- a/pkg/node/memory.go
+++ b/pkg/node/memory.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// bufferedBodyMemory bounds, in bytes, the parts of response bodies that are in memory
+	// for all requests together: those read before their header is relayed, and those that
+	// wait for their caller to read.
+	bufferedBodyMemory = 24 << 20
 	// requestHeaderMemory bounds, in bytes, the memory that the headers of all requests of
 	// callers take together beyond the usual size of each.
 	requestHeaderMemory = 16 << 20
@@ -18,6 +22,7 @@
 
 // The uses of bounded memory, as they appear in metrics and logs.
 const (
+	useBodies          = "bodies"
 	useRequestHeaders  = "request-headers"
 	useResponseHeaders = "response-headers"
 )
@@ -34,6 +39,7 @@
 // memoryReports returns a report on each budget of n.
 func (n *Node) memoryReports() []memoryReport {
 	return []memoryReport{
+		{use: useBodies, budget: n.bodies},
 		{use: useRequestHeaders, budget: n.requestHeaders},
 		{use: useResponseHeaders, budget: n.dialer.HeaderMemory()},
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -97,7 +97,9 @@
 	hasTables atomic.Bool
 	dialect   wire.Dialect
 	endpoints []Endpoint
-	// requestHeaders is the memory of the headers of callers' requests.
+	// bodies is the memory of buffered response bodies, requestHeaders that of the headers
+	// of callers' requests.
+	bodies         *memory.Budget
 	requestHeaders *memory.Budget
 }
 
@@ -130,6 +132,7 @@
 	if n.direct() {
 		n.core.EnableDirect(directPolicy(c.Settings))
 	}
+	n.bodies = memory.NewBudget(bufferedBodyMemory)
 	n.requestHeaders = memory.NewBudget(requestHeaderMemory)
 	n.stopping, n.announceStop = context.WithCancel(context.Background())
 	n.homeFinder = newHomeFinder(c.Instances, n.dialer)
--- a/pkg/node/response.go
+++ b/pkg/node/response.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthramp/jacinthramp/pkg/decision/outcome"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/target"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 	"github.com/jacinthramp/jacinthramp/pkg/wire"
@@ -31,25 +32,53 @@
 	data []byte
 	// complete is set when data is the whole body.
 	complete bool
+	// memory holds the reservation of reserved bytes for data; nil without one.
+	memory   *memory.Budget
+	reserved int64
+}
+
+// release returns the memory of the prefix. Further calls do nothing.
+func (p *bodyPrefix) release() {
+	p.memory.Release(p.reserved)
+	p.memory, p.reserved = nil, 0
 }
 
 // readPrefix reads a body of at most maxBufferedResponse bytes completely, and
 // nothing of a larger one. A body of unknown length is read up to that bound if
 // the outcome is recorded, or if a failure would end other requests on the
-// caller's connection.
+// caller's connection. Nothing is read of a body for which the memory of buffered bodies
+// has no room. The caller must release the prefix.
 func (x *exchange) readPrefix(resp *upstream.Response, head caller.ResponseHead) (bodyPrefix, error) {
 	switch {
 	case head.ContentLength == 0 || resp.Request.Method == http.MethodHead:
 		return bodyPrefix{complete: true}, nil
 	case head.ContentLength > maxBufferedResponse, head.ContentLength < 0 && !x.recordResult && !x.relay.SharesConnection():
 		return bodyPrefix{}, nil
-	case head.ContentLength > 0:
-		buf := make([]byte, head.ContentLength)
-		_, err := io.ReadFull(resp.Body, buf)
-		return bodyPrefix{buf, true}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	return bodyPrefix{data, len(data) <= maxBufferedResponse}, err
+	prefix := bodyPrefix{memory: x.node.bodies, reserved: head.ContentLength}
+	if head.ContentLength < 0 {
+		prefix.reserved = maxBufferedResponse + 1
+	}
+	if !prefix.memory.TryReserve(prefix.reserved) {
+		return bodyPrefix{}, nil
+	}
+	err := prefix.read(resp.Body, head.ContentLength)
+	if err != nil {
+		prefix.release()
+	}
+	return prefix, err
+}
+
+// read reads a body of length bytes, or up to maxBufferedResponse of one of unknown length.
+func (p *bodyPrefix) read(body io.Reader, length int64) (err error) {
+	if length > 0 {
+		p.data, p.complete = make([]byte, length), true
+		_, err = io.ReadFull(body, p.data)
+		return err
+	}
+	p.data, err = io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
+	p.complete = len(p.data) <= maxBufferedResponse
+	return err
 }
 
 // recordOutcome records the response for repeats of the request. Of a response
--- a/pkg/peer/caller/relay.go
+++ b/pkg/peer/caller/relay.go
@@ -9,17 +9,24 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/jacinthramp/jacinthramp/pkg/peer/memory"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/upstream"
 )
 
-// copyBufferBytes is the size of the buffer for copying a response body.
-const copyBufferBytes = 32 << 10
+const (
+	// copyBufferBytes is the size of the buffer for copying a response body.
+	copyBufferBytes = 32 << 10
+	// smallCopyBufferBytes is its size when the memory for buffers is used up.
+	smallCopyBufferBytes = 4 << 10
+)
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // ResponseRelay relays one response, interim responses included, to a caller.
 type ResponseRelay struct {
 	w http.ResponseWriter
+	// memory bounds the buffers of all relays.
+	memory *memory.Budget
 	// allowedReserved is the one reserved header field that targets may set;
 	// empty means none.
 	allowedReserved string
@@ -33,8 +40,11 @@
 	status  int
 }
 
-// NewResponseRelay returns a ResponseRelay that writes to w.
-func NewResponseRelay(w http.ResponseWriter) *ResponseRelay { return &ResponseRelay{w: w} }
+// NewResponseRelay returns a ResponseRelay that writes to w. Its buffers share the memory m
+// with those of other relays.
+func NewResponseRelay(w http.ResponseWriter, m *memory.Budget) *ResponseRelay {
+	return &ResponseRelay{w: w, memory: m}
+}
 
 // SharesConnection reports whether the caller has other unanswered requests on
 // the connection. They fail if this response is aborted.
@@ -141,8 +151,8 @@
 // failure to write to the caller.
 func (r *ResponseRelay) CopyBody(body io.Reader, head ResponseHead) (readErr, writeErr error) {
 	flush := head.ContentLength < 0
-	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buf)
+	buf := newCopyBuffer(r.memory)
+	defer buf.release()
 	rc := http.NewResponseController(r.w)
 	if flush {
 		if err := rc.Flush(); err != nil {
@@ -150,9 +160,9 @@
 		}
 	}
 	for {
-		n, err := body.Read(buf[:])
+		n, err := body.Read(buf.data)
 		if n > 0 {
-			if _, werr := r.w.Write(buf[:n]); werr != nil {
+			if _, werr := r.w.Write(buf.data[:n]); werr != nil {
 				return nil, werr
 			}
 			if flush {
@@ -171,6 +181,31 @@
 	}
 }
 
+// copyBuffer is a buffer for copying a body.
+type copyBuffer struct {
+	data []byte
+	// pooled is the array of data if it is of copyBuffers and reserved in memory, else nil.
+	pooled *[copyBufferBytes]byte
+	memory *memory.Budget
+}
+
+// newCopyBuffer returns a buffer, a small one if m is used up.
+func newCopyBuffer(m *memory.Budget) copyBuffer {
+	if !m.TryReserve(copyBufferBytes) {
+		return copyBuffer{data: make([]byte, smallCopyBufferBytes)}
+	}
+	pooled := copyBuffers.Get().(*[copyBufferBytes]byte)
+	return copyBuffer{data: pooled[:], pooled: pooled, memory: m}
+}
+
+// release makes the buffer available to others.
+func (b *copyBuffer) release() {
+	if b.pooled != nil {
+		copyBuffers.Put(b.pooled)
+		b.memory.Release(copyBufferBytes)
+	}
+}
+
 // isTrailerField reports whether field is a valid name that may stand in a trailer.
 func isTrailerField(field string) bool {
 	return httpguts.ValidHeaderFieldName(field) && httpguts.ValidTrailerHeader(field)
