Bound the large messages of all instances together

What callers saw: nothing yet; peers that send large messages, or small ones that are large after decompression, make an instance run out of memory.

Cause: each message was bounded, at 32 MiB, but not the sum over up to 1,024 connections; one message and its copies already take most of a small instance.

Change: what a message takes beyond 16 KiB is reserved three times, as it was read, as parameters and decoded, in 32 MiB that all connections share, until it has been handled. A message for which there is no room ends its connection; heartbeats and most announcements are smaller. A message has at most 8 MiB, several times the largest.

--- a/pkg/peer/instance/client.go
+++ b/pkg/peer/instance/client.go
@@ -120,7 +120,7 @@
 		return nil, nil, err
 	}
 	dc := &deadlineConn{Conn: nc}
-	stream := jsonrpc2.NewBufferedStream(dc, Codec{})
+	stream := jsonrpc2.NewBufferedStream(dc, &connCodec{})
 	return jsonrpc2.NewConn(context.Background(), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger)), dc, nil
 }
 
--- a/pkg/peer/instance/codec.go
+++ b/pkg/peer/instance/codec.go
@@ -6,6 +6,7 @@
 	_ "embed"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
 	"sync"
 
@@ -15,8 +16,9 @@
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 )
 
-// MaxMessageBytes is the maximum size of a message before compression, in bytes.
-const MaxMessageBytes = 32 << 20
+// MaxMessageBytes is the maximum size of a message before compression, in bytes. The
+// largest one holds all tables or the whole catalog, about 1 MiB for 2,000 routes.
+const MaxMessageBytes = 8 << 20
 
 const (
 	// payloadDeflate1 is the first byte of a payload compressed with DEFLATE and
@@ -91,8 +93,16 @@
 // ReadObject reads one frame and decodes its message into v. It allocates memory as
 // the bytes arrive, not from the stated length, so a false length costs no memory.
 // Errors: fault.KindBodyTooLarge for a message above MaxMessageBytes,
+// fault.KindOverloaded if the memory of large messages is used up,
 // fault.KindBadRequest for an invalid payload, and those of reading and decoding.
 func (Codec) ReadObject(stream *bufio.Reader, v any) error {
+	var m messageMemory
+	defer m.release()
+	return readMessage(stream, v, &m)
+}
+
+// readMessage is ReadObject for a message whose memory is accounted for in m.
+func readMessage(stream *bufio.Reader, v any, m *messageMemory) error {
 	n, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -100,14 +110,14 @@
 	if n > MaxMessageBytes {
 		return fault.New(fault.KindBodyTooLarge, "an incoming message of %d bytes is too large", n)
 	}
-	data, err := io.ReadAll(io.LimitReader(stream, int64(n)))
+	data, err := io.ReadAll(m.reader(io.LimitReader(stream, int64(n))))
 	if err != nil {
 		return err
 	}
 	if uint64(len(data)) < n {
 		return io.ErrUnexpectedEOF
 	}
-	if data, err = decompressPayload(data); err != nil {
+	if data, err = decompressPayload(data, m); err != nil {
 		return err
 	}
 	return json.Unmarshal(data, v)
@@ -117,8 +127,8 @@
 var decompressors = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), dictionary1) }}
 
 // decompressPayload returns the JSON of a payload. The result is bounded by
-// MaxMessageBytes, which protects against decompression bombs.
-func decompressPayload(data []byte) ([]byte, error) {
+// MaxMessageBytes, which protects against decompression bombs, and accounted for in m.
+func decompressPayload(data []byte, m *messageMemory) ([]byte, error) {
 	if len(data) == 0 || data[0] == payloadJSON {
 		return data, nil
 	}
@@ -130,7 +140,10 @@
 	if err := z.(flate.Resetter).Reset(bytes.NewReader(data[1:]), dictionary1); err != nil {
 		return nil, err
 	}
-	plain, err := io.ReadAll(io.LimitReader(z, MaxMessageBytes+1))
+	plain, err := io.ReadAll(m.reader(io.LimitReader(z, MaxMessageBytes+1)))
+	if errors.Is(err, errMessageMemoryUsedUp) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.KindBadRequest, err, "cannot decompress the payload of a message")
 	}
--- a/pkg/peer/instance/entries.go
+++ b/pkg/peer/instance/entries.go
@@ -59,7 +59,8 @@
 }
 
 // UnmarshalJSON decodes either form. Errors: fault.KindBodyTooLarge for more than
-// MaxMessageBytes of JSON, fault.KindBadRequest for an invalid payload, and those of
+// MaxMessageBytes of JSON, fault.KindOverloaded if the memory of large messages is used up,
+// fault.KindBadRequest for an invalid payload, and those of
 // the decoder.
 func (e *EncodedEntries) UnmarshalJSON(data []byte) error {
 	// An instance that forwards the entries sends them as they came.
@@ -71,7 +72,9 @@
 	if err := json.Unmarshal(data, &compressed); err != nil {
 		return err
 	}
-	plain, err := decompressPayload(compressed)
+	var m messageMemory
+	defer m.release()
+	plain, err := decompressPayload(compressed, &m)
 	if err != nil {
 		return err
 	}
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -88,7 +88,7 @@
 
 // serveConn serves the calls on one connection in sequence, until it is closed.
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: c}, Codec{})
+	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: c}, &connCodec{})
 	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed(), jsonrpc2.SetLogger(discardLogger))
 	defer func() { _ = conn.Close() }()
 	if !s.track(conn) {
