Count the headers of recorded responses

What callers saw: nothing yet; responses with large headers that are kept for repeats could make an instance run out of memory.

Evidence: TestHeadersOfRecordedResponsesCount on the code before: 100 responses with headers of 1,000 bytes were kept, the limit is 10,000 bytes.

Change: a response counts with its header and what a map takes for its fields.

--- a/pkg/decision/outcome/registry.go
+++ b/pkg/decision/outcome/registry.go
@@ -17,8 +17,8 @@
 	// MaxRecords is the maximum number of records. No record is evicted before
 	// its id has expired; at the limit, new requests are refused.
 	MaxRecords int
-	// MaxResponseBytes is the maximum total size of the recorded response bodies.
-	// The oldest responses are dropped first, but their records remain, so that
+	// MaxResponseBytes is the maximum total size of the recorded responses, with their
+	// headers. The oldest responses are dropped first, but their records remain, so that
 	// the requests are not run again.
 	MaxResponseBytes int
 }
@@ -61,6 +61,22 @@
 	Target string
 }
 
+// fieldOverhead is the memory, in bytes, that a header field takes in addition to its
+// text: a map entry and a slice.
+const fieldOverhead = 128
+
+// size returns the memory, in bytes, that the body and the header take.
+func (r *Response) size() int {
+	n := len(r.Body)
+	for field, values := range r.Header {
+		n += fieldOverhead + len(field)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
 // Result is the result of the first submission of an id.
 type Result struct {
 	// Kind is fault.KindNone when the target responded.
@@ -88,7 +104,7 @@
 	records     map[string]*record
 	byExpiry    expiryHeap
 	// withResponse lists the records whose response is kept, oldest first.
-	// responseBytes is the total size of these responses' bodies.
+	// responseBytes is the total size of these responses.
 	withResponse  []*record
 	responseBytes int
 }
@@ -178,7 +194,7 @@
 // the total exceeds MaxResponseBytes.
 func (g *Registry) storeResponse(r *record) {
 	g.withResponse = append(g.withResponse, r)
-	g.responseBytes += len(r.result.Response.Body)
+	g.responseBytes += r.result.Response.size()
 	for g.responseBytes > g.limits.MaxResponseBytes {
 		oldest := g.withResponse[0]
 		g.withResponse = g.withResponse[1:]
@@ -189,7 +205,7 @@
 // dropResponse removes the response of r, if it has one.
 func (g *Registry) dropResponse(r *record) {
 	if r.result.Response != nil {
-		g.responseBytes -= len(r.result.Response.Body)
+		g.responseBytes -= r.result.Response.size()
 		r.result.Response = nil
 	}
 }
--- a/pkg/decision/outcome/registry_test.go
+++ b/pkg/decision/outcome/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,24 @@
 		t.Errorf("decision = %+v, want Wait", d)
 	}
 }
+
+// TestHeadersOfRecordedResponsesCount records responses with large headers and no body.
+func TestHeadersOfRecordedResponsesCount(t *testing.T) {
+	const numResponses, valueBytes = 100, 1000
+	l := DefaultLimits()
+	l.MaxResponseBytes = 10 * valueBytes
+	g := NewRegistry("a", "i", l)
+	for i := range numResponses {
+		g.Admit(t0, newID(i))
+		g.Finish(t0, newID(i), Result{Response: &Response{Header: map[string][]string{"A": {strings.Repeat("x", valueBytes)}}}})
+	}
+	kept := 0
+	for i := range numResponses {
+		if g.Admit(t0, newID(i)).Action == Replay {
+			kept++
+		}
+	}
+	if kept == 0 || kept*valueBytes > l.MaxResponseBytes {
+		t.Errorf("%d responses of more than %d bytes are kept, the limit is %d bytes", kept, valueBytes, l.MaxResponseBytes)
+	}
+}
