Cut texts in log lines to 1 KiB

What operators saw: a target, a caller or the store could put up to 256 KiB into one line, for example as the reason of a failed attempt. The log's buffer has 256 KiB, so such a line drops others or is dropped itself.

Cause: the rate of lines and the buffer were bounded, but no line.

Evidence: TestLongTextsAreCut on the code before: a line with three texts of 200 KiB was dropped, which left 49 bytes in the log.

Change: texts and errors are cut to 1 KiB each. Stacks are not texts, and stay whole.

--- a/pkg/telemetry/log.go
+++ b/pkg/telemetry/log.go
@@ -68,7 +68,7 @@
 func (l *Logger) Close() { l.writer.close() }
 
 // rateLimitedCore limits the rate of log lines below warnings. It also keeps lines
-// short: errors are logged without their stack traces.
+// short: errors are logged without their stack traces, and long texts are cut.
 type rateLimitedCore struct {
 	zapcore.Core
 	limiter *lineLimiter
@@ -77,29 +77,41 @@
 
 // With implements zapcore.Core.
 func (c *rateLimitedCore) With(fields []zapcore.Field) zapcore.Core {
-	return &rateLimitedCore{Core: c.Core.With(errorsAsText(fields)), limiter: c.limiter, writer: c.writer}
+	return &rateLimitedCore{Core: c.Core.With(shortened(fields)), limiter: c.limiter, writer: c.writer}
 }
 
 // Write implements zapcore.Core.
 func (c *rateLimitedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	return c.Core.Write(e, errorsAsText(fields))
+	return c.Core.Write(e, shortened(fields))
 }
 
-// errorsAsText returns fields with each error replaced by its message, without
-// the stack trace.
-func errorsAsText(fields []zapcore.Field) []zapcore.Field {
-	if !slices.ContainsFunc(fields, isError) {
+// maxTextBytes is the number of bytes of a text that are logged. Texts may hold what other
+// processes have sent.
+const maxTextBytes = 1 << 10
+
+// shortened returns fields with each error replaced by its message, without the stack
+// trace, and each text cut to maxTextBytes.
+func shortened(fields []zapcore.Field) []zapcore.Field {
+	if !slices.ContainsFunc(fields, func(f zapcore.Field) bool { return isError(f) || isLongText(f) }) {
 		return fields
 	}
 	out := slices.Clone(fields)
 	for i, f := range out {
 		if isError(f) {
-			out[i] = zap.String(f.Key, f.Interface.(error).Error())
+			f = zap.String(f.Key, f.Interface.(error).Error())
+		}
+		if isLongText(f) {
+			f.String = f.String[:maxTextBytes]
 		}
+		out[i] = f
 	}
 	return out
 }
 
+func isLongText(f zapcore.Field) bool {
+	return f.Type == zapcore.StringType && len(f.String) > maxTextBytes
+}
+
 func isError(f zapcore.Field) bool {
 	_, ok := f.Interface.(error)
 	return ok && f.Type == zapcore.ErrorType
--- a/pkg/telemetry/log_test.go
+++ b/pkg/telemetry/log_test.go
@@ -109,3 +109,18 @@
 		t.Errorf("the line contains a stack trace: %s", line)
 	}
 }
+
+// TestLongTextsAreCut logs what another process has sent without end.
+func TestLongTextsAreCut(t *testing.T) {
+	var buf bytes.Buffer
+	l, err := NewLoggerTo(&buf, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := strings.Repeat("x", 200<<10)
+	l.With(zap.String("with", long)).Warn("long", zap.String("why", long), zap.Error(fault.New(fault.KindTargetGarbage, "%s", long)))
+	l.Close()
+	if n := buf.Len(); n > 4*maxTextBytes || !strings.Contains(buf.String(), `"why":"xxx`) {
+		t.Errorf("the line has %d bytes", n)
+	}
+}
