A list of instances that a restore has shortened is not complete

What callers saw: a target with a rate limit got more than one and a half times its limit after the platform's store had come back from older copies several times in a row.

Cause: an instance that has just started takes the first list that it reads for complete. Right after a restore that list may lack all others, who register again only once the store lets them. The instance then holds itself for the only one and uses the whole limit, beside the others, who rightly keep their shares: silence is no evidence that it has gone.

Change: the list of an instance settles 10 s after its first read, or after the last restore that it learns of before. Until then a restore makes the list incomplete, with which an instance sends nothing that is limited for all together. It reads the list again at that moment, so that one which is no watcher doesn't wait 30 s. An instance whose list has settled knows the others and keeps them for 30 s, as before. Without a restore nothing waits.

Why it works: the only lists that can lack members because of a restore are those read before the others have registered again, and an instance that knew the others before keeps them. What remains is an instance that starts while the others can't write to the store for more than 10 s after the restore.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -72,6 +72,7 @@
 	listRead            bool // set once the platform's list of instances has been read
 	// storeGeneration is the generation of the platform's store as far as known here.
 	storeGeneration uint64
+	settling        listSettling
 	startedAt       time.Time
 	// headAt is the time up to which the tables' head is known, from an own read or from
 	// another instance. It is not used with feeds.
@@ -277,7 +278,7 @@
 	c.mu.Lock()
 	now := time.Now()
 	list := []platform.Instance{toInstance(c.view.Self())}
-	members := &memberList{list: slices.Clone(list), complete: c.listRead}
+	members := &memberList{list: slices.Clone(list), complete: c.listRead && c.settling.complete()}
 	for _, m := range c.view.Members(now) {
 		members.list = append(members.list, toInstance(m.Info))
 		if m.State != member.Suspect {
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -225,7 +225,12 @@
 	cell  string
 	// tableService returns the table service of an instance; nil means the store.
 	tableService func(id string) platform.TableService
-	log          *zap.Logger
+	// registry returns the platform's list for an instance; nil means the store's.
+	registry func(id string) platform.InstanceRegistry
+	// generation returns the generation of the store for instances that start from now
+	// on; nil means that they learn it from the entries.
+	generation func() uint64
+	log        *zap.Logger
 }
 
 func newTestCluster(seed uint64) *testCluster {
@@ -250,9 +255,13 @@
 	if tc.tableService != nil {
 		tables = tc.tableService(id)
 	}
+	var registry platform.InstanceRegistry = tc.store.list
+	if tc.registry != nil {
+		registry = tc.registry(id)
+	}
 	c := New(Config{
 		Feeds: feeds,
-		Self:  in, Timing: DefaultTiming(), Tables: tables, Objects: tc.store, Instances: tc.store.list,
+		Self:  in, Timing: DefaultTiming(), Tables: tables, Objects: tc.store, Instances: registry, StoreGeneration: tc.generation,
 		Seeds: tc.seeds, Peers: fakeTransport{tc.net, id}, Log: tc.log, Rand: tc.net.randFloat,
 	})
 	c.ledger = allowance.NewLedger(c.self, in.PeerAddress, c.timing.Allowance, tc.overrides)
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -92,6 +92,13 @@
 	r.changed = make(chan struct{})
 }
 
+// currentGeneration returns the generation of the store.
+func (r *fakeFeedStore) currentGeneration() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation
+}
+
 // setTarget writes the entry of a target or its removal.
 func (r *fakeFeedStore) setTarget(id string, present bool) {
 	e := catalog.Entry{Topic: catalog.Targets, Key: id, Removed: !present}
@@ -244,12 +251,19 @@
 // runWithFeeds runs a test in virtual time on n instances with feeds in one
 // region, each in a zone of its own, starting when all have target t1.
 func runWithFeeds(t *testing.T, n int, test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
+	t.Helper()
+	runPreparedWithFeeds(t, n, func(*testCluster) {}, test)
+}
+
+// runPreparedWithFeeds is like runWithFeeds, with a call of prepare before the start.
+func runPreparedWithFeeds(t *testing.T, n int, prepare func(tc *testCluster), test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
 	t.Helper()
 	virtualtime.Test(t, func(t *testing.T) {
 		tc, r := newTestCluster(uint64(n)), newFakeFeedStore()
 		defer tc.stop()
 		tc.cell = "osrednja"
 		tc.seeds = []string{"instance-000", "instance-001"}
+		prepare(tc)
 		tc.feeds = func(id string) []platform.Feed {
 			return []platform.Feed{fakeFeed{r, catalog.Operators, id}, fakeFeed{r, catalog.Targets, id}}
 		}
--- a/pkg/cluster/platformlist.go
+++ b/pkg/cluster/platformlist.go
@@ -47,7 +47,11 @@
 		case !ok:
 			d = registerRetryInterval
 		}
-		if !sleep(ctx, c.jitter(d), nil) {
+		d = c.jitter(d)
+		if settles := c.listSettlesIn(time.Now()); settles > 0 {
+			d = min(d, settles)
+		}
+		if !sleep(ctx, d, nil) {
 			return
 		}
 	}
@@ -60,7 +64,7 @@
 	c.mu.Lock()
 	wasRegistered := c.registered
 	c.mu.Unlock()
-	var list []platform.Instance
+	sent, list := time.Now(), []platform.Instance(nil)
 	err := c.listGuard.read(ctx, func(ctx context.Context) (err error) {
 		list, err = c.cfg.Instances.ListInstances(ctx)
 		return err
@@ -76,6 +80,7 @@
 	c.observeStoreGeneration(time.Now())
 	c.view.ObserveList(time.Now(), infos)
 	c.listRead = true
+	c.settling.observeRead(sent)
 	c.mu.Unlock()
 	c.refreshViews()
 	c.removeStaleEntries(ctx)
--- a/pkg/cluster/restore.go
+++ b/pkg/cluster/restore.go
@@ -16,6 +16,9 @@
 	restoreWritesPerSecond = 250
 	// minRestoreSpread is the shortest time over which the instances spread them.
 	minRestoreSpread = 500 * time.Millisecond
+	// listSettleTime is how long after a restore the list may lack members: they learn
+	// of the restore first, and their first writes may be refused.
+	listSettleTime = 10 * time.Second
 )
 
 // restoreSpread returns the time over which n instances register again.
@@ -40,6 +43,7 @@
 	}
 	old := c.storeGeneration
 	c.storeGeneration = generation
+	c.settling.observeRestore(now)
 	if !c.listRead && c.tables.Load() == nil {
 		// The first generation that this instance sees.
 		return
@@ -49,6 +53,52 @@
 	signal(c.registerDue)
 }
 
+// listSettling tells whether the lists of instances that this instance has read can be
+// complete. A list that is short because of a restore is no evidence that there are no other
+// members. An instance keeps the members that it knows, so only the lists of one that has just
+// started are in question.
+type listSettling struct {
+	// at is the time from which a list that is read lacks nobody: listSettleTime after the
+	// first read, or after the last restore known here before that.
+	at time.Time
+	// settled is set once a list has been read then, and restored if there was a restore
+	// before.
+	settled  bool
+	restored bool
+}
+
+// complete reports whether the lists that have been read can be complete.
+func (s *listSettling) complete() bool { return s.settled || !s.restored }
+
+// observeRestore records that a restore has become known. An instance that starts can't tell
+// how long ago it was.
+func (s *listSettling) observeRestore(now time.Time) {
+	s.at, s.restored = now.Add(listSettleTime), true
+}
+
+// observeRead records a read of the list that was sent at a time.
+func (s *listSettling) observeRead(sent time.Time) {
+	if s.at.IsZero() {
+		s.at = sent.Add(listSettleTime)
+	}
+	s.settled = s.settled || !sent.Before(s.at)
+}
+
+// until returns the time until the list is to be read for this, or 0.
+func (s *listSettling) until(now time.Time) time.Duration {
+	if s.settled || s.at.IsZero() {
+		return 0
+	}
+	return max(0, s.at.Sub(now))
+}
+
+// listSettlesIn is settling.until for callers without mu.
+func (c *Cluster) listSettlesIn(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settling.until(now)
+}
+
 // reregisterLoop registers this instance again after each restore of the platform's store.
 func (c *Cluster) reregisterLoop(ctx context.Context) {
 	for {
