A sender keeps what it has saved up under its last share, and no more

What callers saw: an instance that became one of few senders to a target with a rate limit sent a burst at once, beside the senders before it.

Cause: Limiter.Set left the time of the next request as it was. It lies in the past for an instance that was no sender, or was one with a small share, so that the whole burst of the new share counted as saved up, though the others had used that time. Only the very first share of a target began without any.

Evidence: TestInstanceThatBecomesASenderHasSavedNothing failed with 10 requests within 100 ms (burst 11, none wanted) both for an instance without a complete list and for one that was no sender; TestShareThatGrowsBringsNoSavedRequests with 10 where 2 were saved up.

Change: at a change of the share a sender carries over the number of requests that it has saved up, in fractions, so that a limit that changes with each response takes nothing away. From no share it carries none.

Why it works: the bound on all together counts what each sender may save up in its own share; a change adds nothing to it now.

--- a/pkg/decision/ratelimit/limiter.go
+++ b/pkg/decision/ratelimit/limiter.go
@@ -17,23 +17,40 @@
 	nextAt atomic.Int64
 }
 
-// Set puts a share in force. A sender starts without a request saved up: the request that
-// brought the news has just used the target. The others have Share.SilentFor to wait.
+// Set puts a share in force. A sender keeps the requests that it has saved up under its last
+// share, and starts without any: the request that brought the news, or the sender before it,
+// has just used the target. The others have Share.SilentFor to wait.
 func (l *Limiter) Set(now, heardAt int64, s Share) {
 	l.heardAt.Store(heardAt)
 	old := l.share.Load()
 	if old != nil && *old == s {
 		return
 	}
-	used := now + int64(s.Burst)*s.Interval.Nanoseconds()
-	if old == nil && s.SilentFor == 0 {
-		l.nextAt.Store(used)
-	} else if next := l.nextAt.Load(); next > used {
-		l.nextAt.CompareAndSwap(next, used)
+	for next := l.nextAt.Load(); !l.nextAt.CompareAndSwap(next, s.nextAfter(old, now, next)); {
+		next = l.nextAt.Load()
 	}
 	l.share.Store(&s)
 }
 
+// nextAfter returns nextAt under s at now if it was next under the share old, which is nil
+// without one.
+func (s *Share) nextAfter(old *Share, now, next int64) int64 {
+	if s.SilentFor > 0 {
+		return min(next, now+int64(s.Burst)*s.Interval.Nanoseconds())
+	}
+	missing := float64(s.Burst) - min(old.saved(now, next), float64(s.Burst))
+	return now + int64(missing*float64(s.Interval))
+}
+
+// saved returns how many requests a sender has saved up under s at now.
+func (s *Share) saved(now, next int64) float64 {
+	if s == nil || s.SilentFor > 0 {
+		return 0
+	}
+	burst := float64(s.Burst)
+	return min(burst, max(0, burst-float64(next-now)/float64(s.Interval)))
+}
+
 // Clear ends the limit.
 func (l *Limiter) Clear() { l.share.Store(nil) }
 
--- a/pkg/decision/ratelimit/limiter_test.go
+++ b/pkg/decision/ratelimit/limiter_test.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// TestInstanceThatBecomesASenderHasSavedNothing guards against an instance that sends all
+// that a sender may save up at the moment at which it becomes one, beside the senders before.
+func TestInstanceThatBecomesASenderHasSavedNothing(t *testing.T) {
+	alone := Share{Interval: 129 * time.Millisecond, SenderInterval: 129 * time.Millisecond, Burst: 11}
+	for name, before := range map[string]Share{
+		"list unknown": {SenderInterval: time.Second, Burst: 1, SilentFor: never},
+		"no sender":    {Interval: time.Hour, SenderInterval: time.Second, Burst: 1, SilentFor: time.Minute},
+	} {
+		var l Limiter
+		l.Set(0, 0, before)
+		l.Set(time.Minute.Nanoseconds(), 0, alone)
+		if n := countClaims(&l, time.Minute, time.Minute+100*time.Millisecond); n > 0 {
+			t.Errorf("%s before: %d requests at once, want none", name, n)
+		}
+		if n := countClaims(&l, time.Minute+100*time.Millisecond, time.Minute+10*alone.Interval); n < 9 {
+			t.Errorf("%s before: %d requests in 10 intervals, want 9 or more", name, n)
+		}
+	}
+}
+
+// TestShareThatGrowsBringsNoSavedRequests guards against a sender that has saved up under a
+// small share what it could have saved up under a large one.
+func TestShareThatGrowsBringsNoSavedRequests(t *testing.T) {
+	small := Share{Interval: 644 * time.Millisecond, SenderInterval: 644 * time.Millisecond, Burst: 2}
+	large := Share{Interval: 129 * time.Millisecond, SenderInterval: 129 * time.Millisecond, Burst: 11}
+	var l Limiter
+	l.Set(0, 0, small)
+	l.Set(time.Minute.Nanoseconds(), 0, large)
+	if n := countClaims(&l, time.Minute, time.Minute+100*time.Millisecond); n != small.Burst {
+		t.Errorf("%d requests at once, want the %d saved up before", n, small.Burst)
+	}
+}
+
 func TestLimiterCountsConcurrentClaims(t *testing.T) {
 	var l Limiter
 	l.Set(0, 0, Share{Interval: time.Second, SenderInterval: time.Second, Burst: 3})
