An age below zero in a message counts as zero

What callers saw: nothing yet; found by reading what instances believe of each other.

Cause: ages in messages of other instances were subtracted from the time as they came. With one below 0, or one that overflows as a duration, a member counts as seen in the future and stays in use after its end, another cell counts as reachable and its next reports are ignored, and an instance relies on a copy of the feeds for as long.

Change: such an age counts as 0, and one above an hour in a report of another cell as an hour. The message is not refused: a sender that waited for a lock may note an event a moment after the time by which it counts.

--- a/pkg/cluster/feedreader.go
+++ b/pkg/cluster/feedreader.go
@@ -125,11 +125,12 @@
 	if c.discovery == nil || !f.HasFeedReader || c.discovery.catalog.Position().Behind(position) {
 		return
 	}
+	complete := at.Add(-max(0, f.FeedReaderAge))
 	if senior {
-		c.discovery.fresh.RecordSenior(at.Add(-f.FeedReaderAge))
+		c.discovery.fresh.RecordSenior(complete)
 		return
 	}
-	c.discovery.fresh.RecordPeer(at.Add(-f.FeedReaderAge))
+	c.discovery.fresh.RecordPeer(complete)
 }
 
 // isSenior reports whether an instance is before this one in the rank order of the
--- a/pkg/cluster/heartbeat.go
+++ b/pkg/cluster/heartbeat.go
@@ -272,7 +272,7 @@
 			c.view.ObserveReport(now, m)
 		}
 	}
-	at := now.Add(-newest.reply.MembersAge)
+	at := now.Add(-max(0, newest.reply.MembersAge))
 	if newest.reply.MembersAgree {
 		c.view.ObserveSameVerdict(now, at)
 	} else {
--- a/pkg/cluster/tables.go
+++ b/pkg/cluster/tables.go
@@ -133,7 +133,7 @@
 // has known the head of the tables, as of a time. The caller holds mu.
 func (c *Cluster) observeHead(at time.Time, f instance.FeedFreshness, version uint64) {
 	if c.discovery == nil && f.HasFeedReader && !c.versions.ShouldFetch(version) {
-		c.recordHead(at.Add(-f.FeedReaderAge))
+		c.recordHead(at.Add(-max(0, f.FeedReaderAge)))
 	}
 }
 
--- a/pkg/cluster/zones.go
+++ b/pkg/cluster/zones.go
@@ -59,13 +59,22 @@
 
 // observeReport records another cell's report if it is newer than the one held.
 func (z *zoneReports) observeReport(now time.Time, r instance.ZoneReport) {
-	at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	at := now.Add(-ageOf(r.AgeMS))
 	if r.Zone == z.cell || !at.After(z.received[r.Zone].at) {
 		return
 	}
 	z.received[r.Zone] = receivedReport{at: at, report: r}
 }
 
+// maxAge bounds the age that a message states, beyond which all is out of use.
+const maxAge = time.Hour
+
+// ageOf returns an age in milliseconds, as messages state it, as a duration from 0 to
+// maxAge.
+func ageOf(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // unreachable reports whether the last report of cell is older than cellTimeout.
 func (z *zoneReports) unreachable(now time.Time, cell string) bool {
 	return now.Sub(z.received[cell].at) > cellTimeout
@@ -131,7 +140,7 @@
 	}
 	for _, r := range z.freshReports(now) {
 		for _, s := range r.Summaries {
-			s.At = now.Add(-time.Duration(r.AgeMS+s.AgeMS) * time.Millisecond)
+			s.At = now.Add(-ageOf(r.AgeMS) - ageOf(s.AgeMS))
 			s.Zone = r.Zone
 			out = append(out, s.ZoneSummary)
 		}
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -235,13 +235,13 @@
 	Age time.Duration `json:"age"`
 }
 
-// ObserveReport applies a report from a peer.
+// ObserveReport applies a report from a peer. An age below 0 counts as 0.
 func (v *View) ObserveReport(now time.Time, r Report) {
 	e := v.upsert(now, r.Info)
 	if e == nil {
 		return
 	}
-	at := now.Add(-r.Age)
+	at := now.Add(-max(0, r.Age))
 	if at.After(e.lastSeen) {
 		e.lastSeen = at
 	}
@@ -253,7 +253,7 @@
 // ObserveAgreement records that a peer of the cell has itself received a message
 // within age from each of the members that are not suspected here.
 func (v *View) ObserveAgreement(now time.Time, age time.Duration) {
-	at := now.Add(-age)
+	at := now.Add(-max(0, age))
 	for _, e := range v.entries {
 		if e.info.EffectiveCell() == v.self.EffectiveCell() && v.state(now, e) != Suspect && at.After(e.lastSeen) {
 			e.lastSeen = at
