An entry that makes no sense names no target to use

What callers saw: nothing yet in service. An entry that can be read and makes no sense was used: its requests failed on a port of 0 or on the instance's own host, and with slots at the end of their type the sum of a pool overflows and such a target draws all objects. An entry of another instance that names no topic ended the process where it was fetched.

Cause: the adapter checked the address' form, the zone and that there is a slot; entries of other instances were not checked.

Change: pkg/catalog/check.go has a rule for each field. An entry that is refused keeps its version, and names no target. It is counted once for each version (refused_entries), and a line names the first eight keys. TestEntriesThatMakeSenseAreUsed holds what stays accepted: an id used again, IPv6, the ends of the ranges.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -76,6 +76,7 @@
 	// call of TakeOldestChange; zero if none is known.
 	oldestChange time.Time
 	kept         Kept
+	refused      Refused
 }
 
 // New returns an empty catalog.
@@ -144,8 +145,13 @@
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
 // just recovered. An entry that its target wrote before the one stored, or that only an
-// older copy of the store contains, only raises the version.
+// older copy of the store contains, only raises the version. An entry of no topic is ignored.
 func (c *Catalog) apply(now time.Time, e *Entry) {
+	if !e.Topic.valid() {
+		c.refused.add(e.Key)
+		return
+	}
+	e = checked(e)
 	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
 	switch {
@@ -154,7 +160,11 @@
 		return
 	case old != nil && e.Version <= old.Version:
 		return
-	case old != nil && !c.replaces(now, old, e):
+	}
+	if e.Unreadable {
+		c.refused.add(e.Key)
+	}
+	if old != nil && !c.replaces(now, old, e) {
 		old.Version = e.Version
 		return
 	}
--- /dev/null
+++ b/pkg/catalog/check.go
@@ -0,0 +1,134 @@
+package catalog
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// The largest values that an entry may state. An entry beyond them can be read and makes no
+// sense: something other than an operator or a target has written it.
+const (
+	// MaxNameBytes bounds names and keys.
+	MaxNameBytes = 200
+	// MaxCold bounds how long a target is cold.
+	MaxCold = 24 * time.Hour
+	// MaxStartMillis is the beginning of the year 2100.
+	MaxStartMillis = 4_102_444_800_000
+	// MaxSequence is the largest whole number up to which JSON numbers are exact.
+	MaxSequence = 1 << 53
+	// MaxRemovalDelay bounds how much longer a removed target is used.
+	MaxRemovalDelay = time.Minute
+	// maxShownBytes bounds a value in an error.
+	maxShownBytes = 64
+)
+
+// Check returns an error of kind fault.KindInvalidTable if e makes no sense.
+func (e *Entry) Check() error {
+	contents := 0
+	for _, has := range []bool{e.Config != nil, e.EvacuatedZone != "", e.Target != nil} {
+		if has {
+			contents++
+		}
+	}
+	ofOtherTopic := e.Topic == Operators && e.Target != nil || e.Topic == Targets && (e.Config != nil || e.EvacuatedZone != "")
+	switch {
+	case !e.Topic.valid() || ofOtherTopic:
+		return invalid("an entry of the topic %d has the content of another one", int(e.Topic))
+	case contents > 1 || e.Removed && contents > 0:
+		return invalid("an entry has %d contents, removed %t", contents, e.Removed)
+	case e.RemovalDelay < 0 || e.RemovalDelay > MaxRemovalDelay:
+		return invalid("a target is used for %v after its removal, 0 to %v is accepted", e.RemovalDelay, MaxRemovalDelay)
+	case e.Target == nil:
+		return nil
+	case e.Target.ID != e.Key:
+		return invalid("the entry of target %.*q names target %.*q", maxShownBytes, e.Key, maxShownBytes, e.Target.ID)
+	}
+	return e.Target.Check()
+}
+
+// Refused counts the entries whose content could not be read or makes no sense.
+type Refused struct {
+	Count int
+	// Keys are those of the first ones.
+	Keys []string
+}
+
+// maxRefusedKeys bounds Refused.Keys.
+const maxRefusedKeys = 8
+
+func (r *Refused) add(key string) {
+	r.Count++
+	if len(r.Keys) < maxRefusedKeys {
+		r.Keys = append(r.Keys, key[:min(len(key), MaxNameBytes)])
+	}
+}
+
+// TakeRefused returns the entries that were refused since the last call, and whether there
+// were any.
+func (c *Catalog) TakeRefused() (r Refused, ok bool) {
+	r, c.refused = c.refused, Refused{}
+	return r, r.Count > 0
+}
+
+// checked returns e, or an unreadable entry in place of one that Check refuses.
+func checked(e *Entry) *Entry {
+	namesNone := e.Topic == Targets && !e.Removed && e.Target == nil
+	if !e.Unreadable && !namesNone && e.Check() == nil {
+		return e
+	}
+	return &Entry{Topic: e.Topic, Key: e.Key, Version: e.Version, Age: e.Age, Unreadable: true}
+}
+
+// valid reports whether t is one of the topics.
+func (t Topic) valid() bool { return t >= 0 && t < TopicCount }
+
+// invalid returns an error of kind fault.KindInvalidTable.
+func invalid(format string, args ...any) error {
+	return fault.New(fault.KindInvalidTable, format, args...)
+}
+
+// Check returns an error of kind fault.KindInvalidTable if a field of t makes no sense.
+func (t *Target) Check() error {
+	switch {
+	case !validName(t.ID) || !validName(t.Service) || !validName(t.Zone) || !validName(t.Region):
+		return invalid("a name is empty or longer than %d bytes", MaxNameBytes)
+	case t.Slots < 1 || t.Slots > table.MaxSlots:
+		return invalid("%d slots, 1 to %d are accepted", t.Slots, table.MaxSlots)
+	case t.ColdRemaining < 0 || t.ColdRemaining > MaxCold:
+		return invalid("cold for %v, 0 to %v is accepted", t.ColdRemaining, MaxCold)
+	case t.StartMillis < 0 || t.StartMillis > MaxStartMillis:
+		return invalid("started at %d ms, 0 to %d is accepted", t.StartMillis, int64(MaxStartMillis))
+	case t.Sequence < 0 || t.Sequence > MaxSequence:
+		return invalid("write number %d, 0 to %d is accepted", t.Sequence, int64(MaxSequence))
+	}
+	return CheckAddress(t.Address)
+}
+
+// validName reports whether name has a length that names have.
+func validName(name string) bool { return name != "" && len(name) <= MaxNameBytes }
+
+// CheckAddress returns an error of kind fault.KindInvalidTable unless text is the address of
+// one host, with a port. The scope of an address names an interface of the host that has
+// written it, and says nothing here.
+func CheckAddress(text string) error {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return invalid("%.*q is not an IP address and a port", maxShownBytes, text)
+	}
+	ip := a.Addr()
+	switch {
+	case a.Port() == 0:
+		return invalid("the address %v has the port 0", a)
+	case ip.Zone() != "":
+		return invalid("the address %.*q has a scope", maxShownBytes, text)
+	case ip.Unmap().IsUnspecified() || ip.Unmap().IsMulticast() || ip.Unmap() == broadcastAddress:
+		return invalid("the address %v is not that of one host", a)
+	}
+	return nil
+}
+
+// broadcastAddress is the address of all hosts of a network.
+var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
--- /dev/null
+++ b/pkg/catalog/check_test.go
@@ -0,0 +1,128 @@
+package catalog
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// senselessTargets change a registration to one that can be read and makes no sense.
+var senselessTargets = map[string]func(*Target){
+	"no service":            func(t *Target) { t.Service = "" },
+	"no zone":               func(t *Target) { t.Zone = "" },
+	"no region":             func(t *Target) { t.Region = "" },
+	"another ID":            func(t *Target) { t.ID = "t9" },
+	"no address":            func(t *Target) { t.Address = "" },
+	"port 0":                func(t *Target) { t.Address = "10.0.0.1:0" },
+	"scope":                 func(t *Target) { t.Address = "[fe80::1%eth0]:80" },
+	"unspecified address":   func(t *Target) { t.Address = "0.0.0.0:80" },
+	"unspecified IPv6":      func(t *Target) { t.Address = "[::]:80" },
+	"mapped unspecified":    func(t *Target) { t.Address = "[::ffff:0.0.0.0]:80" },
+	"multicast":             func(t *Target) { t.Address = "224.0.0.1:80" },
+	"broadcast":             func(t *Target) { t.Address = "255.255.255.255:80" },
+	"no slots":              func(t *Target) { t.Slots = 0 },
+	"negative slots":        func(t *Target) { t.Slots = math.MinInt },
+	"slots without end":     func(t *Target) { t.Slots = math.MaxInt },
+	"cold for ever":         func(t *Target) { t.ColdRemaining = math.MaxInt64 },
+	"cold below 0":          func(t *Target) { t.ColdRemaining = -1 },
+	"start far in future":   func(t *Target) { t.StartMillis = math.MaxInt64 },
+	"start below 0":         func(t *Target) { t.StartMillis = math.MinInt64 },
+	"sequence at its end":   func(t *Target) { t.Sequence = math.MaxInt64 },
+	"sequence below 0":      func(t *Target) { t.Sequence = -1 },
+	"sequence at its start": func(t *Target) { t.Sequence = math.MinInt64 },
+}
+
+// editedTarget returns the registration of a target after edit.
+func editedTarget(id string, version uint64, edit func(*Target)) Entry {
+	e := target(id, version)
+	edit(e.Target)
+	return e
+}
+
+// TestSenselessEntryDrawsNoTraffic guards against entries with values at the ends of their
+// types that are used: sums over slots overflow, and the sound targets get no requests.
+func TestSenselessEntryDrawsNoTraffic(t *testing.T) {
+	for name, edit := range senselessTargets {
+		c := withTargets(2)
+		c.Merge(at(time.Second), Targets, []Entry{editedTarget("t3", 9, edit)}, 9)
+		got := c.Assemble()
+		if used := activeTargets(got); !slices.Equal(used, []string{"t1", "t2"}) || got.Pools[0].TotalSlots() != 8 {
+			t.Errorf("%s: targets %v with %d slots", name, used, got.Pools[0].TotalSlots())
+		}
+		if c.Position()[Targets] != 9 {
+			t.Errorf("%s: complete up to %d, want 9", name, c.Position()[Targets])
+		}
+	}
+}
+
+// TestSenselessEntryOfAKnownTargetIsNotUsed covers an entry in place of a sound one.
+func TestSenselessEntryOfAKnownTargetIsNotUsed(t *testing.T) {
+	for name, edit := range senselessTargets {
+		c := withTargets(2)
+		c.Merge(at(time.Second), Targets, []Entry{editedTarget("t2", 9, edit)}, 9)
+		if used := activeTargets(c.Assemble()); !slices.Equal(used, []string{"t1"}) {
+			t.Errorf("%s: targets %v, want t1", name, used)
+		}
+		c.Merge(at(2*time.Second), Targets, []Entry{target("t2", 10)}, 10)
+		if used := activeTargets(c.Assemble()); !slices.Equal(used, []string{"t1", "t2"}) {
+			t.Errorf("%s: targets %v after a sound entry, want t1 and t2", name, used)
+		}
+	}
+}
+
+func TestEntriesThatMakeSenseAreUsed(t *testing.T) {
+	for name, edit := range map[string]func(*Target){
+		"one slot":        func(t *Target) { t.Slots = 1 },
+		"most slots":      func(t *Target) { t.Slots = table.MaxSlots },
+		"IPv6":            func(t *Target) { t.Address = "[2001:db8::1]:65535" },
+		"loopback":        func(t *Target) { t.Address = "127.0.0.1:1" },
+		"same address":    func(t *Target) { t.Address = "10.0.0.1:80" },
+		"longest cold":    func(t *Target) { t.ColdRemaining = MaxCold },
+		"no start":        func(t *Target) { t.StartMillis = 0 },
+		"last start":      func(t *Target) { t.StartMillis = MaxStartMillis },
+		"last sequence":   func(t *Target) { t.Sequence = MaxSequence },
+		"used id again":   func(t *Target) { t.StartMillis, t.Sequence = 2, 0 },
+		"shortest of all": func(t *Target) { t.Service, t.Zone, t.Region = "feedlog", "z", "r" },
+	} {
+		c := withTargets(1)
+		c.Merge(at(time.Second), Targets, []Entry{editedTarget("t1", 9, edit)}, 9)
+		if used := activeTargets(c.Assemble()); !slices.Equal(used, []string{"t1"}) {
+			t.Errorf("%s: targets %v, want t1", name, used)
+		}
+		if refused, ok := c.TakeRefused(); ok {
+			t.Errorf("%s: refused %+v", name, refused)
+		}
+	}
+}
+
+func TestRefusedEntriesAreCounted(t *testing.T) {
+	c := withTargets(1)
+	for i := range uint64(20) {
+		e := editedTarget("t1", 10+i, func(t *Target) { t.Slots = -1 })
+		c.Merge(at(time.Second), Targets, []Entry{e}, 10+i)
+		c.Merge(at(time.Second), Targets, []Entry{e}, 10+i)
+	}
+	if refused, ok := c.TakeRefused(); !ok || refused.Count != 20 || len(refused.Keys) != maxRefusedKeys {
+		t.Errorf("refused %+v, want 20 and the keys of the first %d", refused, maxRefusedKeys)
+	}
+	if refused, ok := c.TakeRefused(); ok {
+		t.Errorf("refused %+v a second time", refused)
+	}
+}
+
+// TestEntryOfAnUnknownTopicIsIgnored guards against an entry of another instance that ends
+// this one.
+func TestEntryOfAnUnknownTopicIsIgnored(t *testing.T) {
+	for _, topic := range []Topic{-1, TopicCount, math.MaxInt} {
+		c := withTargets(1)
+		e := target("t2", 9)
+		e.Topic = topic
+		c.MergeAll(at(time.Second), []Entry{e}, c.Position())
+		if used := activeTargets(c.Assemble()); len(used) != 1 {
+			t.Errorf("topic %d: targets %v, want t1", topic, used)
+		}
+	}
+}
--- a/pkg/catalog/entry.go
+++ b/pkg/catalog/entry.go
@@ -31,9 +31,9 @@
 	return "targets"
 }
 
-// Entry is one versioned entry of a topic. Unless it is removed, exactly one of
-// Config, EvacuatedZone and Target is set. An entry that could not be read has none
-// of them and is kept for its version.
+// Entry is one versioned entry of a topic. Unless it is removed, at most one of
+// Config, EvacuatedZone and Target is set. An entry that could not be read, or that Check
+// refuses, has none of them: it is kept for its version and names no target to use.
 type Entry struct {
 	Topic Topic  `json:"topic"`
 	Key   string `json:"key"`
@@ -45,6 +45,8 @@
 	Age time.Duration `json:"age,omitempty"`
 	// Removed marks the removal of the entry.
 	Removed bool `json:"removed,omitempty"`
+	// Unreadable marks an entry whose content could not be read or makes no sense.
+	Unreadable bool `json:"unreadable,omitempty"`
 	// RemovalDelay is how much longer a removed target is used. It is set when the
 	// target's entry may have expired in an outage and may be written again.
 	RemovalDelay time.Duration `json:"lapse_in,omitempty"`
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -47,6 +47,8 @@
 	// unappliedSince is a time at which the store held none of the changes in the tables
 	// that TakeUnappliedSince has not reported yet; zero if there are none.
 	unappliedSince time.Time
+	// refusedEntries are those that TakeRefusedEntries has not returned yet.
+	refusedEntries int
 	// interruptPoll ends the long poll of each topic that is in flight; nil without
 	// one.
 	interruptPoll [catalog.TopicCount]context.CancelCauseFunc
@@ -105,10 +107,7 @@
 func (c *Cluster) assembleTables(source entrySource) {
 	d := c.discovery
 	c.observeStoreGeneration(time.Now())
-	if kept, ok := d.catalog.TakeKept(); ok {
-		c.cfg.Log.Info("kept what is newer than the restored copy of the platform's store",
-			zap.Int("configs", kept.Configs), zap.Int("evacuations", kept.Evacuations), zap.Int("targets", kept.Targets))
-	}
+	c.reportCatalog()
 	t := d.catalog.Assemble()
 	if t == nil || !d.synced[catalog.Targets] && d.tablesVersion == 0 && len(t.Pools) == 0 {
 		return
@@ -124,6 +123,34 @@
 	signal(c.updates)
 }
 
+// reportCatalog logs what the catalog has kept and refused since the last call. The caller
+// holds mu.
+func (c *Cluster) reportCatalog() {
+	d := c.discovery
+	if kept, ok := d.catalog.TakeKept(); ok {
+		c.cfg.Log.Info("kept what is newer than the restored copy of the platform's store",
+			zap.Int("configs", kept.Configs), zap.Int("evacuations", kept.Evacuations), zap.Int("targets", kept.Targets))
+	}
+	if refused, ok := d.catalog.TakeRefused(); ok {
+		c.cfg.Log.Warn("entries ignored that could not be read or make no sense", zap.Int("count", refused.Count), zap.Strings("keys", refused.Keys))
+		d.refusedEntries += refused.Count
+		signal(c.updates)
+	}
+}
+
+// TakeRefusedEntries returns how many entries have been ignored since the last call because
+// they could not be read or make no sense.
+func (c *Cluster) TakeRefusedEntries() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.discovery == nil {
+		return 0
+	}
+	n := c.discovery.refusedEntries
+	c.discovery.refusedEntries = 0
+	return n
+}
+
 // noteChangeAge returns the longest time for which the changes in the tables just
 // assembled may have been in the store, or 0 if that is not known, and keeps it for
 // TakeUnappliedSince.
--- a/pkg/node/cluster.go
+++ b/pkg/node/cluster.go
@@ -59,6 +59,13 @@
 	TakeUnappliedSince() (at time.Time, ok bool)
 }
 
+// EntryChecker is a Cluster that ignores entries of the platform's store.
+type EntryChecker interface {
+	// TakeRefusedEntries returns how many entries have been ignored since the last call
+	// because they could not be read or make no sense.
+	TakeRefusedEntries() int
+}
+
 // Attacher is a Cluster that sets the shares of the decision core itself. A share
 // must be out of use before it is offered as a loan. Polling Shares can't ensure
 // that, since the core would get the change only later.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -194,6 +194,9 @@
 	if timer, ok := n.cluster.(ChangeTimer); ok {
 		since, _ = timer.TakeUnappliedSince()
 	}
+	if checker, ok := n.cluster.(EntryChecker); ok && n.metrics != nil {
+		n.metrics.CountRefusedEntries(checker.TakeRefusedEntries())
+	}
 	n.rebuildSnapshot()
 	members, complete := n.members()
 	n.core.SetInstances(now, members, complete)
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -179,8 +179,8 @@
 			v.addProblem(row, path, field+".pool", "pool %q is listed more than once", w.Pool)
 		}
 		seen[w.Pool] = true
-		if w.Weight < 0 || w.Weight > maxWeight {
-			v.addProblem(row, path, field+".weight", "%d is out of range; 0 to %d is accepted", w.Weight, maxWeight)
+		if w.Weight < 0 || w.Weight > MaxWeight {
+			v.addProblem(row, path, field+".weight", "%d is out of range; 0 to %d is accepted", w.Weight, MaxWeight)
 		}
 	}
 	if r.TotalWeight() <= 0 {
@@ -188,9 +188,6 @@
 	}
 }
 
-// maxWeight is the maximum weight of a pool. It prevents the overflow of sums.
-const maxWeight = 1_000_000
-
 // checkMatch checks the host and path prefix of a route and that no other route has
 // the same ones. routeByMatch maps those checked before to their routes.
 func (v *validator) checkMatch(routeByMatch map[string]string, row, path string, r *Route) {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -146,6 +146,10 @@
 	m.scope.Tagged(map[string]string{"notice": kind}).Counter("target_notices").Inc(1)
 }
 
+// CountRefusedEntries counts entries of the platform's store that could not be read or make
+// no sense.
+func (m *Metrics) CountRefusedEntries(n int) { m.scope.Counter("refused_entries").Inc(int64(n)) }
+
 // CountRateLimitedRequest counts an attempt at a target that has announced a rate limit.
 func (m *Metrics) CountRateLimitedRequest() { m.scope.Counter("rate_limited_requests").Inc(1) }
 
