An unreadable entry forgets nothing of its target

What callers saw: nothing yet in service. After an entry of another writer in the place of a target's, a write of the target that the store carries out late counted as its last word, so that a target which drains was in use.

Cause: the catalog keeps a target's start and its count of writes to tell an earlier write, also when the target is removed, but not when its entry can't be read.

Evidence: TestUnreadableEntryForgetsNothingOfItsTarget failed before: "targets [t1] are in use: a write of before it was draining counts".

Change: they are kept for an unreadable entry as for a removal. The target is used again with its next write.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -169,7 +169,7 @@
 		return
 	}
 	stored := &storedEntry{Entry: *e, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
-	if e.Removed && old != nil {
+	if (e.Removed || e.Unreadable) && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
 	if e.Age > 0 {
--- a/pkg/catalog/check_test.go
+++ b/pkg/catalog/check_test.go
@@ -113,6 +113,26 @@
 	}
 }
 
+// TestUnreadableEntryForgetsNothingOfItsTarget guards against an entry of another writer
+// after which a write of the target that the store carries out late counts as its last word.
+func TestUnreadableEntryForgetsNothingOfItsTarget(t *testing.T) {
+	c := withTargets(1)
+	write := func(version uint64, sequence int64, draining bool) {
+		e := editedTarget("t1", version, func(t *Target) { t.Sequence, t.Draining = sequence, draining })
+		c.Merge(at(time.Second), Targets, []Entry{e}, version)
+	}
+	write(9, 5, true)
+	c.Merge(at(time.Second), Targets, []Entry{{Topic: Targets, Key: "t1", Version: 10, Unreadable: true}}, 10)
+	write(11, 4, false)
+	if used := activeTargets(c.Assemble()); len(used) > 0 {
+		t.Errorf("targets %v are in use: a write of before it was draining counts", used)
+	}
+	write(12, 6, false)
+	if used := activeTargets(c.Assemble()); len(used) != 1 {
+		t.Errorf("targets %v after the target's next write, want t1", used)
+	}
+}
+
 // TestEntryOfAnUnknownTopicIsIgnored guards against an entry of another instance that ends
 // this one.
 func TestEntryOfAnUnknownTopicIsIgnored(t *testing.T) {
