A configuration that makes no sense leaves the last one in force

What callers saw: nothing yet in service; the store takes valid configurations only. With one that can't be read in its place an instance kept its tables as they were: new targets got no requests and removed ones did. One that can be read and makes no sense was put in force: weights below 0 or at the end of their type, times below 0 or beyond what a duration holds, and the like.

Cause: an entry without content took the place of the configuration, and nothing is assembled without one. Fields of a configuration were not checked.

Change: an unreadable entry of the operators changes nothing. Rules for services and routes stand beside those for targets; a zero stays the default. They bound only what no operator can mean, since the store has accepted the configuration.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -145,7 +145,8 @@
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
 // just recovered. An entry that its target wrote before the one stored, or that only an
-// older copy of the store contains, only raises the version. An entry of no topic is ignored.
+// older copy of the store contains, only raises the version, as does one of the operators
+// that is unreadable. An entry of no topic is ignored.
 func (c *Catalog) apply(now time.Time, e *Entry) {
 	if !e.Topic.valid() {
 		c.refused.add(e.Key)
@@ -187,6 +188,9 @@
 
 // replaces reports whether e, which has a higher version, takes the place of old now.
 func (c *Catalog) replaces(now time.Time, old *storedEntry, e *Entry) bool {
+	if e.Unreadable && e.Topic == Operators {
+		return false
+	}
 	if GenerationOf(e.Version) > GenerationOf(old.Version) && c.reconcile(now, old, e) {
 		return false
 	}
--- a/pkg/catalog/check.go
+++ b/pkg/catalog/check.go
@@ -41,6 +41,8 @@
 		return invalid("an entry has %d contents, removed %t", contents, e.Removed)
 	case e.RemovalDelay < 0 || e.RemovalDelay > MaxRemovalDelay:
 		return invalid("a target is used for %v after its removal, 0 to %v is accepted", e.RemovalDelay, MaxRemovalDelay)
+	case e.Config != nil:
+		return e.Config.Check()
 	case e.Target == nil:
 		return nil
 	case e.Target.ID != e.Key:
@@ -132,3 +134,50 @@
 
 // broadcastAddress is the address of all hosts of a network.
 var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// Check returns an error of kind fault.KindInvalidTable if a field of c makes no sense. A
+// zero stands for the default.
+func (c *Config) Check() error {
+	for i := range c.Services {
+		if err := c.Services[i].check(); err != nil {
+			return err
+		}
+	}
+	for i := range c.Routes {
+		if err := checkRoute(&c.Routes[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check returns an error of kind fault.KindInvalidTable if a field of s makes no sense.
+func (s *Service) check() error {
+	switch {
+	case s.Connections < 0 || s.Connections > table.MaxConnections:
+		return invalid("service %.*q: %d connections, 0 to %d are accepted", maxShownBytes, s.Name, s.Connections, table.MaxConnections)
+	case !(s.ColdRate >= 0 && s.ColdRate <= table.MaxRate):
+		return invalid("service %.*q: cold rate %v, 0 to %v is accepted", maxShownBytes, s.Name, s.ColdRate, float64(table.MaxRate))
+	case s.ColdDuration < 0 || s.ColdDuration > MaxCold:
+		return invalid("service %.*q: cold for %v, 0 to %v is accepted", maxShownBytes, s.Name, s.ColdDuration, MaxCold)
+	}
+	return nil
+}
+
+// checkRoute returns an error of kind fault.KindInvalidTable if a field of r makes no sense.
+func checkRoute(r *table.Route) error {
+	for _, d := range []table.Duration{r.Timeout, r.QueueTimeout, r.TargetLatency, r.LookupTTL} {
+		if d < 0 || d > table.MaxTimeout {
+			return invalid("route %.*q: a time of %v, 0 to %v is accepted", maxShownBytes, r.Name, d, table.MaxTimeout)
+		}
+	}
+	if r.MaxAttempts < 0 || r.MaxBodyBytes < 0 {
+		return invalid("route %.*q: %d attempts and %d bytes, 0 and more are accepted", maxShownBytes, r.Name, r.MaxAttempts, r.MaxBodyBytes)
+	}
+	for _, w := range r.Pools {
+		if w.Weight < 0 || w.Weight > table.MaxWeight {
+			return invalid("route %.*q: weight %d, 0 to %d is accepted", maxShownBytes, r.Name, w.Weight, table.MaxWeight)
+		}
+	}
+	return nil
+}
--- a/pkg/catalog/check_test.go
+++ b/pkg/catalog/check_test.go
@@ -133,6 +133,54 @@
 	}
 }
 
+// senselessConfigs change a configuration to one that can be read and makes no sense.
+var senselessConfigs = map[string]func(*Config){
+	"weight below 0":         func(c *Config) { c.Routes[0].Pools[0].Weight = -1 },
+	"weight without end":     func(c *Config) { c.Routes[0].Pools[0].Weight = math.MaxInt },
+	"timeout below 0":        func(c *Config) { c.Routes[0].Timeout = -1 },
+	"timeout without end":    func(c *Config) { c.Routes[0].Timeout = math.MaxInt64 },
+	"latency below 0":        func(c *Config) { c.Routes[0].TargetLatency = math.MinInt64 },
+	"attempts below 0":       func(c *Config) { c.Routes[0].MaxAttempts = -1 },
+	"body below 0":           func(c *Config) { c.Routes[0].MaxBodyBytes = -1 },
+	"connections below 0":    func(c *Config) { c.Services[0].Connections = -1 },
+	"connections no end":     func(c *Config) { c.Services[0].Connections = math.MaxInt },
+	"cold rate below 0":      func(c *Config) { c.Services[0].ColdRate = -1 },
+	"cold rate no end":       func(c *Config) { c.Services[0].ColdRate = math.Inf(1) },
+	"cold rate not a number": func(c *Config) { c.Services[0].ColdRate = math.NaN() },
+	"cold time below 0":      func(c *Config) { c.Services[0].ColdDuration = -1 },
+	"cold time without end":  func(c *Config) { c.Services[0].ColdDuration = math.MaxInt64 },
+}
+
+// TestSenselessConfigurationLeavesTheLastInForce guards against a configuration that makes
+// no sense and takes the place of the one in force.
+func TestSenselessConfigurationLeavesTheLastInForce(t *testing.T) {
+	for name, edit := range senselessConfigs {
+		c := withTargets(1)
+		e := config(9, 2)
+		edit(e.Config)
+		c.Merge(at(time.Second), Operators, []Entry{e}, 9)
+		if got := c.ConfigVersion(); got != 1 {
+			t.Errorf("%s: configuration %d in force, want 1", name, got)
+		}
+	}
+}
+
+// TestTargetsAreFollowedBesideAnUnreadableConfiguration guards against tables that stay as
+// they are from the first configuration on that can't be read.
+func TestTargetsAreFollowedBesideAnUnreadableConfiguration(t *testing.T) {
+	c := withTargets(1)
+	c.Assemble()
+	c.Merge(at(time.Second), Operators, []Entry{{Topic: Operators, Key: "config", Version: 9, Unreadable: true}}, 9)
+	c.Merge(at(time.Second), Targets, []Entry{target("t2", 10)}, 10)
+	if got := c.Assemble(); got == nil || len(activeTargets(got)) != 2 {
+		t.Errorf("tables %+v, want t1 and t2", got)
+	}
+	c.Merge(at(2*time.Second), Operators, []Entry{config(11, 2)}, 11)
+	if got := c.ConfigVersion(); got != 2 {
+		t.Errorf("configuration %d after the operators' next one, want 2", got)
+	}
+}
+
 // TestEntryOfAnUnknownTopicIsIgnored guards against an entry of another instance that ends
 // this one.
 func TestEntryOfAnUnknownTopicIsIgnored(t *testing.T) {
--- a/pkg/catalog/entry.go
+++ b/pkg/catalog/entry.go
@@ -33,7 +33,8 @@
 
 // Entry is one versioned entry of a topic. Unless it is removed, at most one of
 // Config, EvacuatedZone and Target is set. An entry that could not be read, or that Check
-// refuses, has none of them: it is kept for its version and names no target to use.
+// refuses, has none of them: it is kept for its version, names no target to use, and leaves
+// the operators' last word in force.
 type Entry struct {
 	Topic Topic  `json:"topic"`
 	Key   string `json:"key"`
