Entries that seem earlier than what is known are ignored for 30 s only

What callers saw: nothing yet in service. After an entry of another writer with a start or a count of writes far ahead, a target got no requests, or kept getting them while it drained, until its own start or count came that far.

Cause: an entry that the target seems to have written before the known one is ignored, because the store may carry out a write seconds after a later one. That held for ever, also for a target whose clock was set back between two starts.

Evidence: TestTargetIsUsedAfterAnEntryAtTheEndOfItsCounts failed before, for the start and for the count: not used after a minute of its own entries.

Change: such entries are ignored for 30 s after the known one was applied. What an older copy of the store says is told by its generation and not touched.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -11,6 +11,11 @@
 // targets write them again within about two seconds.
 const removalGrace = 2 * time.Second
 
+// lateWriteWindow is how long after a write of a target the store may still carry out an
+// earlier one. After it, an entry that seems earlier shows that what is known was not the
+// target's, or that its clock has been set back.
+const lateWriteWindow = 30 * time.Second
+
 // Position is, for each topic, the version up to which a catalog is complete.
 type Position [TopicCount]uint64
 
@@ -30,6 +35,8 @@
 	// writtenAfter is a time at which the store did not hold the entry yet; zero if none
 	// is known.
 	writtenAfter time.Time
+	// appliedAt is when the entry was applied.
+	appliedAt time.Time
 	// coldUntil is when the target is no longer cold.
 	coldUntil time.Time
 	// deferred takes the place of the entry at deferredUntil; nil without one.
@@ -169,7 +176,7 @@
 		old.Version = e.Version
 		return
 	}
-	stored := &storedEntry{Entry: *e, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
+	stored := &storedEntry{Entry: *e, appliedAt: now, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
 	if (e.Removed || e.Unreadable) && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
@@ -195,14 +202,20 @@
 		return false
 	}
 	if old.Target == nil {
-		return e.Target == nil || old.lastTarget == nil || !e.Target.olderThan(old.lastTarget)
+		return e.Target == nil || old.lastTarget == nil || !old.overtakes(now, e.Target, old.lastTarget)
 	}
 	if delay := max(e.RemovalDelay, c.deferUntil[e.Topic].Sub(now)); e.Removed && delay > 0 {
 		old.deferTo(*e, now.Add(delay))
 		return false
 	}
 	// The store may carry out a write long after a later one of the same target.
-	return e.Target == nil || !e.Target.olderThan(old.Target)
+	return e.Target == nil || !old.overtakes(now, e.Target, old.Target)
+}
+
+// overtakes reports whether the target wrote t before known, which has overtaken it in the
+// store.
+func (s *storedEntry) overtakes(now time.Time, t, known *Target) bool {
+	return t.olderThan(known) && now.Sub(s.appliedAt) < lateWriteWindow
 }
 
 // TakeOldestChange returns a time at which the store held none of the entries applied
--- a/pkg/catalog/check_test.go
+++ b/pkg/catalog/check_test.go
@@ -194,3 +194,28 @@
 		}
 	}
 }
+
+// TestTargetIsUsedAfterAnEntryAtTheEndOfItsCounts guards against an entry of another writer
+// with a start or a count of writes far ahead, after which no entry of the target counts.
+func TestTargetIsUsedAfterAnEntryAtTheEndOfItsCounts(t *testing.T) {
+	for name, edit := range map[string]func(*Target){
+		"start":    func(t *Target) { t.StartMillis = MaxStartMillis },
+		"sequence": func(t *Target) { t.Sequence = MaxSequence },
+	} {
+		c := withTargets(1)
+		odd := editedTarget("t1", 9, edit)
+		odd.Target.Draining = true
+		c.Merge(at(0), Targets, []Entry{odd}, 9)
+		used := false
+		for second := time.Second; second <= 2*lateWriteWindow && !used; second += time.Second {
+			version := 10 + uint64(second/time.Second)
+			e := editedTarget("t1", version, func(t *Target) { t.Sequence = int64(second / time.Second) })
+			c.Merge(at(second), Targets, []Entry{e}, version)
+			tables := c.Assemble()
+			used = tables != nil && len(activeTargets(tables)) == 1
+		}
+		if !used {
+			t.Errorf("%s: the target is not used %v after the entry", name, 2*lateWriteWindow)
+		}
+	}
+}
