Rows of the list of instances that no instance has written are skipped

What callers saw: nothing yet in service. A row with a name and nothing else counted as an instance for a minute: the others shared with it what is limited for all together, and sent it heartbeats.

Cause: any row whose value names its key was an instance.

Change: a row needs a name, a zone, an incarnation and four addresses with a port, which every instance writes.

--- a/pkg/peer/platform/platform.go
+++ b/pkg/peer/platform/platform.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/catalog"
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
 )
 
 // Row is one row of the table service.
@@ -100,6 +102,23 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Check returns an error of kind fault.KindInvalidTable for an entry that no instance has
+// written: without a name, a zone or an incarnation, or with an address at which nothing
+// can listen.
+func (in *Instance) Check() error {
+	for _, name := range []string{in.ID, in.Zone, in.Incarnation} {
+		if name == "" || len(name) > catalog.MaxNameBytes {
+			return fault.New(fault.KindInvalidTable, "a name has %d bytes, 1 to %d are accepted", len(name), catalog.MaxNameBytes)
+		}
+	}
+	for _, address := range []string{in.CallerAddress, in.HopAddress, in.PeerAddress, in.AdminAddress} {
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return fault.New(fault.KindInvalidTable, "%.64q is not an IP address and a port", address)
+		}
+	}
+	return nil
+}
+
 // EffectiveCell returns the cell of the instance, which defaults to its zone.
 func (in *Instance) EffectiveCell() string {
 	if in.Cell != "" {
