Tables with values at the ends of their types are refused

What callers saw: nothing yet in service. The native tables accepted slots, connections, rates and times without end, whose sums overflow, and addresses with a scope or of many hosts.

Cause: only weights had an upper bound.

Change: the bounds that entries of the users' platform have hold here too; the rule for addresses moves beside them, so that there is one. A stored version beyond them is rejected when it is read, and the tables in force stay, as for any other that is not valid.

--- a/pkg/catalog/check.go
+++ b/pkg/catalog/check.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
@@ -106,35 +105,13 @@
 	case t.Sequence < 0 || t.Sequence > MaxSequence:
 		return invalid("write number %d, 0 to %d is accepted", t.Sequence, int64(MaxSequence))
 	}
-	return CheckAddress(t.Address)
+	_, err := table.ParseAddress(t.Address)
+	return err
 }
 
 // validName reports whether name has a length that names have.
 func validName(name string) bool { return name != "" && len(name) <= MaxNameBytes }
 
-// CheckAddress returns an error of kind fault.KindInvalidTable unless text is the address of
-// one host, with a port. The scope of an address names an interface of the host that has
-// written it, and says nothing here.
-func CheckAddress(text string) error {
-	a, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return invalid("%.*q is not an IP address and a port", maxShownBytes, text)
-	}
-	ip := a.Addr()
-	switch {
-	case a.Port() == 0:
-		return invalid("the address %v has the port 0", a)
-	case ip.Zone() != "":
-		return invalid("the address %.*q has a scope", maxShownBytes, text)
-	case ip.Unmap().IsUnspecified() || ip.Unmap().IsMulticast() || ip.Unmap() == broadcastAddress:
-		return invalid("the address %v is not that of one host", a)
-	}
-	return nil
-}
-
-// broadcastAddress is the address of all hosts of a network.
-var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
-
 // Check returns an error of kind fault.KindInvalidTable if a field of c makes no sense. A
 // zero stands for the default.
 func (c *Config) Check() error {
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"regexp"
 	"strings"
 )
@@ -97,8 +96,8 @@
 		if p.ShiftWindow <= 0 {
 			v.addProblem(row, path, "shift_window", "%v is out of range; above 0 is accepted", p.ShiftWindow)
 		}
-		if p.ColdRate < 0 {
-			v.addProblem(row, path, "cold_rate", "%v is below 0; a rate in requests per second is accepted", p.ColdRate)
+		if !(p.ColdRate >= 0 && p.ColdRate <= MaxRate) {
+			v.addProblem(row, path, "cold_rate", "%v is out of range; a rate from 0 to %v requests per second is accepted", p.ColdRate, float64(MaxRate))
 		}
 		if len(p.Targets) == 0 {
 			v.addProblem(row, path, "targets", "at least one target is required")
@@ -115,19 +114,19 @@
 
 // checkTarget checks the slots and connections of one target.
 func (v *validator) checkTarget(row, path, field string, tg Target) {
-	if tg.Slots < 1 {
-		v.addProblem(row, path, field+".slots", "%d is below 1; at least 1 is accepted", tg.Slots)
+	if tg.Slots < 1 || tg.Slots > MaxSlots {
+		v.addProblem(row, path, field+".slots", "%d is out of range; at least 1 and at most %d is accepted", tg.Slots, MaxSlots)
 	}
-	if tg.Connections < 1 {
-		v.addProblem(row, path, field+".connections", "%d is below 1; at least 1 is accepted", tg.Connections)
+	if tg.Connections < 1 || tg.Connections > MaxConnections {
+		v.addProblem(row, path, field+".connections", "%d is out of range; at least 1 and at most %d is accepted", tg.Connections, MaxConnections)
 	}
 }
 
 // checkAddress checks that the address of tg is valid and that no other target has it.
 // targetByAddress maps the addresses checked before to their targets.
 func (v *validator) checkAddress(targetByAddress map[string]string, row, path, field string, tg Target) {
-	a, err := netip.ParseAddrPort(tg.Address)
-	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+	a, err := ParseAddress(tg.Address)
+	if err != nil {
 		v.addProblem(row, path, field+".address", "%q is not a valid address; an IP address and a port are accepted, such as 10.0.0.1:8080", tg.Address)
 		return
 	}
@@ -225,8 +224,8 @@
 		field string
 		value Duration
 	}{{"timeout", r.Timeout}, {"queue_timeout", r.QueueTimeout}, {"lookup_ttl", r.LookupTTL}} {
-		if s.value <= 0 {
-			v.addProblem(row, path, s.field, "%v is out of range; above 0 is accepted", s.value)
+		if s.value <= 0 || s.value > MaxTimeout {
+			v.addProblem(row, path, s.field, "%v is out of range; above 0 and up to %v is accepted", s.value, MaxTimeout)
 		}
 	}
 	if r.TargetLatency <= 0 {
