An entry may lack born unless the target has stated it before

What must not happen is that an entry without it takes the place of one that has stated its start, since the target then seems to be another incarnation.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -159,9 +159,9 @@
 		c.refused.add(e.Key)
 		return
 	}
-	e = checked(e)
-	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
+	e = checked(e, old)
+	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	switch {
 	case old == nil && e.Version < c.snapshotVersion[e.Topic]:
 		// The snapshot lacks the key: e is a late response of before.
--- a/pkg/catalog/check.go
+++ b/pkg/catalog/check.go
@@ -74,15 +74,23 @@
 	return r, r.Count > 0
 }
 
-// checked returns e, or an unreadable entry in place of one that Check refuses.
-func checked(e *Entry) *Entry {
+// checked returns e, which takes the place of old, or an unreadable entry in place of one that
+// Check refuses or that lacks the start of a target which has stated it before. old is nil
+// without one.
+func checked(e *Entry, old *storedEntry) *Entry {
 	namesNone := e.Topic == Targets && !e.Removed && e.Target == nil
-	if !e.Unreadable && !namesNone && e.Check() == nil {
+	if !e.Unreadable && !namesNone && !e.Target.lacksStart(old) && e.Check() == nil {
 		return e
 	}
 	return &Entry{Topic: e.Topic, Key: e.Key, Version: e.Version, Age: e.Age, Unreadable: true}
 }
 
+// lacksStart reports whether t states no start although the target of old has stated one: t
+// would seem to be of another incarnation.
+func (t *Target) lacksStart(old *storedEntry) bool {
+	return t != nil && t.StartMillis == 0 && old != nil && old.lastTarget != nil && old.lastTarget.StartMillis != 0
+}
+
 // valid reports whether t is one of the topics.
 func (t Topic) valid() bool { return t >= 0 && t < TopicCount }
 
