--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -11,6 +11,11 @@
 // targets write them again within about two seconds.
 const removalGrace = 2 * time.Second
 
+// lateWriteWindow is how long after a write of a target the store may still carry out an
+// earlier one. After it, an entry that seems earlier shows that what is known was not the
+// target's, or that its clock has been set back.
+const lateWriteWindow = 30 * time.Second
+
 // Position is, for each topic, the version up to which a catalog is complete.
 type Position [TopicCount]uint64
 
@@ -30,6 +35,8 @@
 	// writtenAfter is a time at which the store did not hold the entry yet; zero if none
 	// is known.
 	writtenAfter time.Time
+	// appliedAt is when the entry was applied.
+	appliedAt time.Time
 	// coldUntil is when the target is no longer cold.
 	coldUntil time.Time
 	// deferred takes the place of the entry at deferredUntil; nil without one.
@@ -82,6 +89,7 @@
 	// call of TakeOldestChange; zero if none is known.
 	oldestChange time.Time
 	kept         Kept
+	refused      Refused
 }
 
 // New returns an empty catalog.
@@ -150,27 +158,37 @@
 // apply stores e if its version is higher than that of the stored entry of its key.
 // The removal of a target is deferred if e has a removal delay or the store has
 // just recovered. An entry that its target wrote before the one stored, or that only an
-// older copy of the store contains, only raises the version. A patch that is not for the
-// configuration of the catalog is left out; see CanApply.
+// older copy of the store contains, only raises the version, as does one of the operators
+// that is unreadable. An entry of no topic is ignored, and so is a patch that is not for the
+// configuration of the catalog; see CanApply.
 func (c *Catalog) apply(now time.Time, e *Entry) {
+	if !e.Topic.valid() {
+		c.refused.add(e.Key)
+		return
+	}
 	e, ok := c.withConfig(e)
 	if !ok {
 		return
 	}
-	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	old := c.entries[e.Topic][e.Key]
+	e = checked(e, old)
+	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	switch {
 	case old == nil && e.Version < c.snapshotVersion[e.Topic]:
 		// The snapshot lacks the key: e is a late response of before.
 		return
 	case old != nil && e.Version <= old.Version:
 		return
-	case old != nil && !c.replaces(now, old, e):
+	}
+	if e.Unreadable {
+		c.refused.add(e.Key)
+	}
+	if old != nil && !c.replaces(now, old, e) {
 		old.Version = e.Version
 		return
 	}
-	stored := &storedEntry{Entry: *e, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
-	if e.Removed && old != nil {
+	stored := &storedEntry{Entry: *e, appliedAt: now, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
+	if (e.Removed || e.Unreadable) && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
 	if e.Config != nil && old != nil && old.Config != nil {
@@ -191,18 +209,27 @@
 
 // replaces reports whether e, which has a higher version, takes the place of old now.
 func (c *Catalog) replaces(now time.Time, old *storedEntry, e *Entry) bool {
+	if e.Unreadable && e.Topic == Operators {
+		return false
+	}
 	if GenerationOf(e.Version) > GenerationOf(old.Version) && c.reconcile(now, old, e) {
 		return false
 	}
 	if old.Target == nil {
-		return e.Target == nil || old.lastTarget == nil || !e.Target.olderThan(old.lastTarget)
+		return e.Target == nil || old.lastTarget == nil || !old.overtakes(now, e.Target, old.lastTarget)
 	}
 	if delay := max(e.RemovalDelay, c.deferUntil[e.Topic].Sub(now)); e.Removed && delay > 0 {
 		old.deferTo(*e, now.Add(delay))
 		return false
 	}
 	// The store may carry out a write long after a later one of the same target.
-	return e.Target == nil || !e.Target.olderThan(old.Target)
+	return e.Target == nil || !old.overtakes(now, e.Target, old.Target)
+}
+
+// overtakes reports whether the target wrote t before known, which has overtaken it in the
+// store.
+func (s *storedEntry) overtakes(now time.Time, t, known *Target) bool {
+	return t.olderThan(known) && now.Sub(s.appliedAt) < lateWriteWindow
 }
 
 // TakeOldestChange returns a time at which the store held none of the entries applied
--- a/pkg/catalog/patch.go
+++ b/pkg/catalog/patch.go
@@ -60,7 +60,7 @@
 func (c *Catalog) CanApply(entries []Entry) bool {
 	for i := range entries {
 		e := &entries[i]
-		if e.Patch == nil {
+		if e.Patch == nil || !e.Topic.valid() {
 			continue
 		}
 		old := c.entries[e.Topic][e.Key]
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -92,6 +92,13 @@
 	r.changed = make(chan struct{})
 }
 
+// currentGeneration returns the generation of the store.
+func (r *fakeFeedStore) currentGeneration() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation
+}
+
 // setTarget writes the entry of a target or its removal.
 func (r *fakeFeedStore) setTarget(id string, present bool) {
 	e := catalog.Entry{Topic: catalog.Targets, Key: id, Removed: !present}
@@ -245,19 +252,26 @@
 // region, each in a zone of its own, starting when all have target t1.
 func runWithFeeds(t *testing.T, n int, test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
 	t.Helper()
-	runWithWrappedFeeds(t, n, func(f fakeFeed) platform.Feed { return f }, test)
+	runPreparedWithFeeds(t, n, func(*testCluster) {}, test)
 }
 
 // runWithWrappedFeeds is runWithFeeds with feeds that wrap has changed.
 func runWithWrappedFeeds(t *testing.T, n int, wrap func(f fakeFeed) platform.Feed, test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
+	t.Helper()
+	runPreparedWithFeeds(t, n, func(tc *testCluster) { tc.wrapFeed = wrap }, test)
+}
+
+// runPreparedWithFeeds is like runWithFeeds, with a call of prepare before the start.
+func runPreparedWithFeeds(t *testing.T, n int, prepare func(tc *testCluster), test func(t *testing.T, tc *testCluster, r *fakeFeedStore)) {
 	t.Helper()
 	virtualtime.Test(t, func(t *testing.T) {
 		tc, r := newTestCluster(uint64(n)), newFakeFeedStore()
 		defer tc.stop()
 		tc.cell = "osrednja"
 		tc.seeds = []string{"instance-000", "instance-001"}
+		prepare(tc)
 		tc.feeds = func(id string) []platform.Feed {
-			return []platform.Feed{wrap(fakeFeed{r, catalog.Operators, id}), wrap(fakeFeed{r, catalog.Targets, id})}
+			return []platform.Feed{tc.feed(r, catalog.Operators, id), tc.feed(r, catalog.Targets, id)}
 		}
 		r.setTarget("t1", true)
 		startAll(tc, n, n)
@@ -266,6 +280,15 @@
 	})
 }
 
+// feed returns an instance's feed of a topic.
+func (tc *testCluster) feed(r *fakeFeedStore, topic catalog.Topic, id string) platform.Feed {
+	f := fakeFeed{r, topic, id}
+	if tc.wrapFeed == nil {
+		return f
+	}
+	return tc.wrapFeed(f)
+}
+
 // hasTarget reports whether the tables in force at the instance have the target.
 func (n *testNode) hasTarget(target string) bool {
 	t := n.Tables()
