Log under which tables an attempt was decided and sent

After a request had run outside the regions that its route allows, the logs could not say why: the request line had one version of the tables, that of the arrival, and the region of no attempt. So tables that came late could not be told from a request that was sent under newer tables than those it was decided under.

The lines `request` and `attempt failed` now have the region of the target, the route's allowed regions, the version under which the attempt was decided and the one in force at its first byte. `disallowed`, and the counter disallowed_attempts, mark attempts that the tables in force at their first byte did not allow. `tables in force` has the version of the operators' configuration.

To judge that, a request keeps the host and path that it was matched by, and the Core the matcher of its tables, which the node uses too instead of one of its own. No decision changes.

--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -27,8 +27,9 @@
 	if !ok {
 		return refuse(fault.KindPoisonHeld)
 	}
-	d := c.refuseIfOutlastsStop(now, r, c.decide(c.snapshot.Load(), now, r))
-	d.fingerprint = r.Fingerprint
+	snap := c.snapshot.Load()
+	d := c.refuseIfOutlastsStop(now, r, c.decide(snap, now, r))
+	d.setRequest(snap, r)
 	switch d.Verdict {
 	case Refuse, Wait:
 		if counted {
@@ -43,6 +44,13 @@
 	return d
 }
 
+// setRequest records in d what the later steps of the attempt need of r and snap.
+func (d *Decision) setRequest(snap *snapshot, r *Request) {
+	d.fingerprint = r.Fingerprint
+	d.row = r.Route
+	d.TablesVersion = snap.tables.Version
+}
+
 // decide chooses a pool for r, and a target or zone of the pool.
 func (c *Core) decide(snap *snapshot, now time.Time, r *Request) Decision {
 	if r.Pool != "" {
--- a/pkg/decision/steer/direct_test.go
+++ b/pkg/decision/steer/direct_test.go
@@ -71,7 +71,7 @@
 
 // directRequest returns a request for an object that arrives at now.
 func directRequest(t *table.Tables, now time.Time, key uint64) *Request {
-	return &Request{Route: &t.Routes[0], Idempotent: true, ObjectKey: key, Arrived: now, Deadline: now.Add(800 * time.Millisecond)}
+	return &Request{Route: &t.Routes[0], TablesVersion: t.Version, Idempotent: true, ObjectKey: key, Arrived: now, Deadline: now.Add(800 * time.Millisecond)}
 }
 
 func TestInstancesOfARegionSendAnObjectToTheSameTargets(t *testing.T) {
--- a/pkg/decision/steer/snapshot.go
+++ b/pkg/decision/steer/snapshot.go
@@ -11,6 +11,7 @@
 // rows. Successive snapshots share the counters.
 type snapshot struct {
 	tables      *table.Tables
+	matcher     *table.Matcher
 	expires     time.Time
 	shares      Shares
 	targetStats map[string]*targetStats
@@ -39,13 +40,14 @@
 
 // emptySnapshot returns the snapshot in force until SetTables.
 func emptySnapshot() *snapshot {
-	return &snapshot{tables: &table.Tables{}}
+	t := &table.Tables{}
+	return &snapshot{tables: t, matcher: table.NewMatcher(t)}
 }
 
 // buildSnapshot returns the snapshot for t, with the counters of old.
 func (c *Core) buildSnapshot(now time.Time, old *snapshot, t *table.Tables) *snapshot {
 	snap := &snapshot{
-		tables: t, expires: old.expires, shares: old.shares,
+		tables: t, matcher: table.NewMatcher(t), expires: old.expires, shares: old.shares,
 		targetStats: make(map[string]*targetStats),
 		targets:     make(map[string]*target),
 		regions:     make(map[string]*region),
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -20,8 +20,14 @@
 // Request holds what a decision depends on. The calling package owns it for the
 // request's whole life and passes the same one to each decision.
 type Request struct {
-	// Route is the matched row of the tables in force.
-	Route *table.Route
+	// Route is the matched row of the tables, and TablesVersion the version of the
+	// tables that it belongs to.
+	Route         *table.Route
+	TablesVersion uint64
+	// Host and Path are what the route was matched by; see table.Matcher.Match. Path is
+	// empty if another instance has chosen the route.
+	Host string
+	Path string
 	// Pool is set when another instance has chosen the pool and forwarded the
 	// request, which is then served in this zone or refused.
 	Pool string
@@ -118,6 +124,8 @@
 	Zone string
 	// Ticket is set with Wait.
 	Ticket uint64
+	// TablesVersion is the version of the tables that the decision is based on.
+	TablesVersion uint64
 
 	// The fields below are what Done frees and what it records.
 	targetStats *targetStats
@@ -139,6 +147,8 @@
 	// object.
 	route *route
 	warm  bool
+	// row is the row of the request's route that the decision is based on.
+	row *table.Route
 	// expectedWait is how long the request was expected to wait at the target.
 	expectedWait time.Duration
 	// networkCost is the estimated cost of the network path to the target.
@@ -148,6 +158,14 @@
 	Diagnostics Diagnostics
 }
 
+// Region returns the region of the chosen target, or "" without one.
+func (d *Decision) Region() string {
+	if d.region == nil {
+		return ""
+	}
+	return d.region.name
+}
+
 // Diagnostics is what a decision of direct dispatch was based on.
 type Diagnostics struct {
 	// Target is the target of least cost, also when the request was refused.
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -37,6 +37,10 @@
 	// sentAfter is the time from the arrival of the request until its first byte was
 	// about to be sent to the target, in nanoseconds; zero before.
 	sentAfter atomic.Int64
+	// sentTables is the version of the tables in force then, and sentDisallowed is set if
+	// they did not allow the attempt.
+	sentTables     atomic.Uint64
+	sentDisallowed atomic.Bool
 
 	// response, head and prefix are set when the attempt received a response;
 	// err is set otherwise.
@@ -125,7 +129,36 @@
 func (a *attempt) withdrawn() bool {
 	now := a.x.node.now()
 	a.sentAfter.Store(now.Sub(a.x.req.Arrived).Nanoseconds())
-	return a.x.node.core.MustNotSend(now, &a.x.req, &a.decision)
+	if a.x.node.core.MustNotSend(now, &a.x.req, &a.decision) {
+		return true
+	}
+	a.recordSent()
+	return false
+}
+
+// recordSent records what the tables in force say about the attempt, which is sent now.
+func (a *attempt) recordSent() {
+	version, allowed := a.x.node.core.TablesNow(&a.x.req, &a.decision)
+	a.sentTables.Store(version)
+	if allowed {
+		return
+	}
+	a.sentDisallowed.Store(true)
+	if m := a.x.node.metrics; m != nil {
+		m.CountDisallowedAttempt()
+	}
+}
+
+// sentState is what the tables in force said when an attempt was sent.
+type sentState struct {
+	// version is that of the tables, zero if the attempt was not sent to a target.
+	version uint64
+	// disallowed is set if these tables did not allow the attempt.
+	disallowed bool
+}
+
+func (a *attempt) sentState() sentState {
+	return sentState{version: a.sentTables.Load(), disallowed: a.sentDisallowed.Load()}
 }
 
 // hop forwards the request to an instance of the decided zone.
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -20,7 +20,10 @@
 type exchange struct {
 	node     *Node
 	snapshot *snapshot
-	w        http.ResponseWriter
+	// arrivalTables is the version of the tables in which the route was matched first.
+	arrivalTables uint64
+
+	w http.ResponseWriter
 	// httpReq is the request as received.
 	httpReq *http.Request
 	ctx     context.Context
@@ -48,6 +51,8 @@
 	// sentAfter is the time from the arrival of the request until the last attempt was
 	// sent to its target; zero if it was not.
 	sentAfter time.Duration
+	// sent is what the tables in force said when the last attempt was sent.
+	sent sentState
 	// targetLoad is the load that the target reported with the last attempt, or
 	// nil.
 	targetLoad *steer.TargetLoad
@@ -225,6 +230,7 @@
 	defer cleanup()
 	defer a.done()
 	x.lastDecision, x.targetLoad, x.sentAfter = a.decision, a.result.Load, time.Duration(a.sentAfter.Load())
+	x.sent = a.sentState()
 	if a.err == nil && a.result.Failed && x.mayRetry(errTargetFailed) {
 		a.result.Kind = fault.KindTargetFailed
 		return errTargetFailed
--- a/pkg/node/explain.go
+++ b/pkg/node/explain.go
@@ -22,9 +22,8 @@
 func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	q := r.URL.Query()
 	name := q.Get(wire.QueryRoute)
-	snap := n.snapshot.Load()
 	if name == "" {
-		if rt := snap.matcher.Match(q.Get(wire.QueryHost), q.Get(wire.QueryPath)); rt != nil {
+		if rt, _ := n.core.Match(q.Get(wire.QueryHost), q.Get(wire.QueryPath)); rt != nil {
 			name = rt.Name
 		}
 	}
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -45,30 +46,45 @@
 	if n.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	snap := n.snapshot.Load()
-	route, refusal := n.matchRoute(snap, r)
+	m, refusal := n.matchRoute(r)
 	if refusal != nil {
 		n.logRefusal(r, *refusal)
 		n.withDialect(n.unknownIfRepeat(*refusal, r)).Write(w)
 		return
 	}
-	n.serveExchange(w, r, snap, route, "")
+	n.serveExchange(w, r, m)
 }
 
-// matchRoute returns the route of a caller's request, or a refusal.
-func (n *Node) matchRoute(snap *snapshot, r *http.Request) (*table.Route, *caller.Refusal) {
-	switch {
-	case r.Method == http.MethodConnect:
-		return nil, &caller.Refusal{Kind: fault.KindBadRequest, Message: "method CONNECT is not supported"}
-	case snap.tables.Version == 0:
-		return nil, &caller.Refusal{Kind: fault.KindNotReady, Message: "this instance has not received any tables yet"}
+// match is the route of a request: its row in one version of the tables, and what it was
+// found by.
+type match struct {
+	route   *table.Route
+	version uint64
+	// host and path are empty, and pool is set, if another instance has chosen route and pool.
+	host, path string
+	pool       string
+}
+
+// matchRoute returns the match of a caller's request, or a refusal.
+func (n *Node) matchRoute(r *http.Request) (match, *caller.Refusal) {
+	if r.Method == http.MethodConnect {
+		return match{}, &caller.Refusal{Kind: fault.KindBadRequest, Message: "method CONNECT is not supported"}
 	}
-	path := caller.RequestPath(r)
-	route := snap.matcher.Match(r.Host, path)
-	if route == nil {
-		return nil, &caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no route for host " + r.Host + " and path " + path}
+	m := n.findRoute(r)
+	switch {
+	case m.version == 0:
+		return m, &caller.Refusal{Kind: fault.KindNotReady, Message: "this instance has not received any tables yet"}
+	case m.route == nil:
+		return m, &caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no route for host " + r.Host + " and path " + m.path}
 	}
-	return route, nil
+	return m, nil
+}
+
+// findRoute returns the match of r in the tables in force; without one, its route is nil.
+func (n *Node) findRoute(r *http.Request) match {
+	m := match{host: r.Host, path: cmp.Or(caller.RequestPath(r), "/")}
+	m.route, m.version = n.core.Match(m.host, m.path)
+	return m
 }
 
 // serveHop serves a request that another instance forwarded: a repeat for which
@@ -84,32 +100,30 @@
 		caller.RefusalFromError(err).Write(w)
 		return
 	}
-	snap := n.snapshot.Load()
-	route := snap.tables.Route(decision.Route)
-	if route == nil || snap.tables.Pool(decision.Pool) == nil {
+	tables := n.core.Tables()
+	route := tables.Route(decision.Route)
+	if route == nil || tables.Pool(decision.Pool) == nil {
 		refusal := caller.Refusal{Kind: fault.KindHopRefused, Message: "the forwarded request names a route or pool that the tables of this instance do not contain"}
 		refusal.Write(w)
 		return
 	}
-	n.serveExchange(w, r, snap, route, decision.Pool)
+	n.serveExchange(w, r, match{route: route, version: tables.Version, pool: decision.Pool})
 }
 
 // serveRepeat serves a repeat that another instance forwarded to this one, its
 // home.
 func (n *Node) serveRepeat(w http.ResponseWriter, r *http.Request) {
-	snap := n.snapshot.Load()
-	route := snap.matcher.Match(r.Host, caller.RequestPath(r))
-	if route == nil {
+	m := n.findRoute(r)
+	if m.route == nil {
 		caller.Refusal{Kind: fault.KindHomeGone, Message: "no route matches the repeated request any longer"}.Write(w)
 		return
 	}
-	n.serveExchange(w, r, snap, route, "")
+	n.serveExchange(w, r, m)
 }
 
-// serveExchange serves r on route. pool is empty unless another instance has
-// chosen it.
-func (n *Node) serveExchange(w http.ResponseWriter, r *http.Request, snap *snapshot, route *table.Route, pool string) {
-	now := n.now()
+// serveExchange serves r on the route of m.
+func (n *Node) serveExchange(w http.ResponseWriter, r *http.Request, m match) {
+	now, route := n.now(), m.route
 	fields, err := caller.ReadRequestFields(r, &n.dialect)
 	if err != nil {
 		refusal := caller.RefusalFromError(err)
@@ -128,15 +142,18 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	x := &exchange{
-		node: n, snapshot: snap, forwardedHome: forwardedHome, w: w, httpReq: r, ctx: ctx, relay: caller.NewResponseRelay(w),
+		node: n, snapshot: n.snapshot.Load(), arrivalTables: m.version, forwardedHome: forwardedHome, w: w, httpReq: r, ctx: ctx, relay: caller.NewResponseRelay(w),
 		req: steer.Request{
-			Route:      route,
-			Pool:       pool,
-			Member:     fields.Member,
-			Idempotent: fields.IsIdempotent(route, r.Method),
-			Arrived:    now,
-			Deadline:   deadline,
-			ObjectKey:  objectKey(fields.Object),
+			Route:         route,
+			TablesVersion: m.version,
+			Host:          m.host,
+			Path:          m.path,
+			Pool:          m.pool,
+			Member:        fields.Member,
+			Idempotent:    fields.IsIdempotent(route, r.Method),
+			Arrived:       now,
+			Deadline:      deadline,
+			ObjectKey:     objectKey(fields.Object),
 		},
 		id: fields.ID, object: fields.Object,
 	}
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/jacinthramp/jacinthramp/pkg/decision/steer"
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/caller"
 )
@@ -34,12 +35,34 @@
 // caller.
 func (x *exchange) logFailedAttempt(err error) {
 	if e := x.node.log.Check(zap.InfoLevel, "attempt failed"); e != nil {
-		e.Write(
+		fields := []zap.Field{
 			zap.String("id", x.id), zap.String("route", x.req.Route.Name), zap.String("pool", x.lastDecision.Pool),
 			zap.String("target", x.lastDecision.Target), zap.Int("attempt", x.req.Attempts),
 			zap.String("kind", fault.KindOf(err).String()), zap.String("why", err.Error()),
-		)
+			zap.Uint64("tables", x.arrivalTables),
+		}
+		e.Write(append(fields, x.placementFields()...)...)
+	}
+}
+
+// placementFields returns the log fields for where the last attempt went and under which
+// tables, or nil without an attempt.
+func (x *exchange) placementFields() []zapcore.Field {
+	d := &x.lastDecision
+	if d.Verdict == steer.Refuse {
+		return nil
+	}
+	fields := []zap.Field{zap.String("region", d.Region()), zap.Uint64("decided_tables", d.TablesVersion)}
+	if x.sent.version != 0 {
+		fields = append(fields, zap.Uint64("sent_tables", x.sent.version))
+	}
+	if x.sent.disallowed {
+		fields = append(fields, zap.Bool("disallowed", true))
 	}
+	if regions := x.req.Route.Regions; len(regions) > 0 {
+		fields = append(fields, zap.Strings("allowed_regions", regions))
+	}
+	return fields
 }
 
 // logRequest logs the outcome of a request and what its last decision was based
@@ -60,7 +83,7 @@
 		zap.String("outcome", outcome), zap.String("kind", x.kind.String()), zap.Int("status", status), zap.Int("attempts", x.req.Attempts),
 		zap.Duration("took", took), zap.Duration("left", x.req.Deadline.Sub(x.node.now())),
 		zap.String("pool", x.lastDecision.Pool), zap.String("zone", x.lastZone()), zap.String("target", x.lastDecision.Target),
-		zap.Uint64("tables", x.snapshot.tables.Version), zap.Duration("tables_age", x.node.now().Sub(x.snapshot.tablesSince)),
+		zap.Uint64("tables", x.arrivalTables), zap.Duration("tables_age", x.node.now().Sub(x.snapshot.tablesSince)),
 	}
 	if x.sentAfter > 0 {
 		fields = append(fields, zap.Duration("sent_after", x.sentAfter))
@@ -68,6 +91,7 @@
 	if len(interim) > 0 {
 		fields = append(fields, zap.Ints("interim", interim))
 	}
+	fields = append(fields, x.placementFields()...)
 	e.Write(append(fields, x.diagnosticFields()...)...)
 }
 
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -19,18 +19,19 @@
 // serveLookup responds with the instances that a caller should use for a route.
 func (n *Node) serveLookup(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	w.Header().Set(wire.HeaderInstance, n.self.ID)
-	snap := n.snapshot.Load()
-	if snap.tables.Version == 0 {
+	tables := n.core.Tables()
+	if tables.Version == 0 {
 		refusal := caller.Refusal{Kind: fault.KindNotReady, Message: "this instance has not received any tables yet"}
 		refusal.Write(w)
 		return
 	}
-	route := lookupRoute(snap, r)
+	route := n.lookupRoute(tables, r)
 	if route == nil {
 		refusal := caller.Refusal{Kind: fault.KindUnknownRoute, Message: "no matching route; the query needs the name of a route, or a host and a path"}
 		refusal.Write(w)
 		return
 	}
+	snap := n.snapshot.Load()
 	location, err := n.callerLocation(snap, r)
 	if err != nil {
 		refusal := caller.Refusal{Kind: fault.KindOf(err), Message: err.Error()}
@@ -38,7 +39,7 @@
 		return
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, location, n.withIDPrefixes(snap.lookupCandidates), rnd))
+	writeJSON(w, lookup.BuildResponse(tables.Version, route, location, n.withIDPrefixes(snap.lookupCandidates), rnd))
 }
 
 // withIDPrefixes returns a copy of instances in which each instance has an id prefix
@@ -56,12 +57,13 @@
 
 // lookupRoute returns the route that a lookup names or whose host and path it
 // gives, or nil if there is none.
-func lookupRoute(snap *snapshot, r *http.Request) *table.Route {
+func (n *Node) lookupRoute(tables *table.Tables, r *http.Request) *table.Route {
 	q := r.URL.Query()
 	if name := q.Get("route"); name != "" {
-		return snap.tables.Route(name)
+		return tables.Route(name)
 	}
-	return snap.matcher.Match(q.Get("host"), q.Get("path"))
+	route, _ := n.core.Match(q.Get("host"), q.Get("path"))
+	return route
 }
 
 // writeJSON responds with value as JSON, or with status 500 if value can't be
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -207,16 +207,20 @@
 	for _, s := range n.cluster.Summaries() {
 		n.core.ObserveZone(now, s)
 	}
-	if v := n.snapshot.Load().tables.Version; v != old {
-		n.reportTables(v, since)
+	if n.snapshot.Load().tables.Version != old {
+		n.reportTables(since)
 	}
 }
 
 // reportTables logs that tables are in force and records for how long their changes may
 // have been in the platform's store: since is a time before them, or zero if none is
 // known.
-func (n *Node) reportTables(version uint64, since time.Time) {
-	fields := []zap.Field{zap.Uint64("version", version)}
+func (n *Node) reportTables(since time.Time) {
+	tables := n.snapshot.Load().tables
+	fields := []zap.Field{zap.Uint64("version", tables.Version)}
+	if tables.ConfigVersion != 0 {
+		fields = append(fields, zap.Uint64("config", tables.ConfigVersion))
+	}
 	if !since.IsZero() {
 		age := n.now().Sub(since)
 		fields = append(fields, zap.Duration("change_age", age))
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -16,7 +16,6 @@
 	tables *table.Tables
 	// tablesSince is when this instance began to use the tables.
 	tablesSince time.Time
-	matcher     *table.Matcher
 	// targets holds the clients of this zone's targets, with direct dispatch those
 	// of all targets, by target name.
 	targets map[string]*target.Client
@@ -44,8 +43,7 @@
 
 // emptySnapshot returns the snapshot in use before the first tables arrive.
 func emptySnapshot() *snapshot {
-	t := &table.Tables{}
-	return &snapshot{tables: t, matcher: table.NewMatcher(t)}
+	return &snapshot{tables: &table.Tables{}}
 }
 
 // rebuildSnapshot replaces the snapshot by one built from the cluster's current
@@ -56,7 +54,6 @@
 	list := n.cluster.Instances()
 	if t := n.cluster.Tables(); t != nil && t.Version > old.tables.Version {
 		next.tables, next.tablesSince = t, n.now()
-		next.matcher = table.NewMatcher(t)
 	}
 	next.targets = n.targetClients(old, next.tables)
 	if !equalInstances(list, old.instances) {
--- a/pkg/slopes/decide.go
+++ b/pkg/slopes/decide.go
@@ -38,7 +38,7 @@
 	start := time.Now()
 	for i := range n {
 		at := now.Add(time.Duration(i) * 100 * time.Microsecond)
-		req := steer.Request{Route: &tb.Routes[i%len(tb.Routes)], Idempotent: true, BodyBytes: 0, Arrived: at, Deadline: at.Add(time.Second)}
+		req := steer.Request{Route: &tb.Routes[i%len(tb.Routes)], TablesVersion: tb.Version, Idempotent: true, BodyBytes: 0, Arrived: at, Deadline: at.Add(time.Second)}
 		d := core.Decide(at, &req)
 		if d.Verdict != steer.Dispatch {
 			refused++
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -8,6 +8,9 @@
 type Tables struct {
 	// Version increases by one with every accepted edit. Version zero is empty.
 	Version uint64 `yaml:"version" json:"version"`
+	// ConfigVersion is the version of the operators' configuration from which discovery has
+	// assembled the tables. It is zero for tables that operators edit.
+	ConfigVersion uint64 `yaml:"-" json:"-"`
 	// AcceptedAt is the platform's time of acceptance. Shifts to new weights are
 	// computed from it. Edits leave it out; it is set when the version is loaded.
 	AcceptedAt time.Time `yaml:"accepted_at,omitempty" json:"accepted_at"`
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -149,5 +149,9 @@
 // CountRateLimitedRequest counts an attempt at a target that has announced a rate limit.
 func (m *Metrics) CountRateLimitedRequest() { m.scope.Counter("rate_limited_requests").Inc(1) }
 
+// CountDisallowedAttempt counts an attempt whose first byte was sent to a target although
+// the tables in force did not allow the request its pool or region.
+func (m *Metrics) CountDisallowedAttempt() { m.scope.Counter("disallowed_attempts").Inc(1) }
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
