Decide on a request under the tables in force, not those of its arrival

Callers saw requests run outside the regions that their route allows, at a service that the route had left, more often than it allows, or on a route that was gone: not for new requests, but for further attempts, hedges and the like after the tables had changed. A request kept the row of its route from its arrival for as long as it lived, and the service that was picked from it.

Each decision on a request now matches it again, by its host and path, when the tables are newer than its row; AllowRetry and AllowHedge too. A request that another instance has forwarded is found by its route's name and must still have its pool. Newer tables may make a request less idempotent, never more, unless its caller has stated what it is. The service is kept while the route has it. Without a route, the request is refused with no-target. The deadline stays: caller and targets know it. Attempts keep what they need of a request themselves, since the decision on a hedge changes it while the first attempt is being sent.

TestRetryIsRefusedAfterItsServiceIsRemoved wanted a refusal although the tables in force gave the route's pools another service; the retry belongs there. It now removes the pools, and TestRetryGoesToTheServiceThatTakesOverThePools has the other case.

Decisions copy less than before while no stop is announced, to make up for the check of the version.

--- a/pkg/decision/steer/affinity.go
+++ b/pkg/decision/steer/affinity.go
@@ -5,6 +5,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/hashing"
 	"github.com/jacinthramp/jacinthramp/pkg/decision/mechanism"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
 // targetsPerObject is the number of targets considered warm for an object.
@@ -146,4 +147,6 @@
 }
 
 // usesAffinity reports whether it matters which target r is sent to.
-func (r *Request) usesAffinity() bool { return r.ObjectKey != 0 && r.Route.Affinity }
+func (r *Request) usesAffinity() bool { return usesAffinity(r.Route, r.ObjectKey) }
+
+func usesAffinity(row *table.Route, objectKey uint64) bool { return objectKey != 0 && row.Affinity }
--- a/pkg/decision/steer/bind.go
+++ b/pkg/decision/steer/bind.go
@@ -18,12 +18,46 @@
 	return snap.matcher.Match(r.Host, r.Path)
 }
 
+// bind makes r refer to the row of its route in the tables of snap, unless these are no
+// newer than the row that it has. It reports false if these tables have no route for r, or
+// one without the pool for which another instance has forwarded r.
+func (c *Core) bind(snap *snapshot, r *Request) bool {
+	if r.TablesVersion >= snap.tables.Version {
+		return true
+	}
+	row := snap.rowFor(r, r.Route.Name)
+	if row == nil || r.Pool != "" && !c.hasPool(row, r.Pool) {
+		return false
+	}
+	r.Route, r.TablesVersion = row, snap.tables.Version
+	r.Idempotent = r.Idempotent && r.mayRepeat(row)
+	if r.service != "" && !c.hasService(snap, row, r.service) {
+		r.service = snap.routes[row.Name].pickService(snap, r)
+	}
+	return true
+}
+
+// mayRepeat reports whether row lets r, an idempotent request so far, run more than once.
+func (r *Request) mayRepeat(row *table.Route) bool {
+	return r.Method == "" || row.IsIdempotent(r.Method)
+}
+
+// hasService reports whether requests of the route may go to a pool of the named service.
+func (c *Core) hasService(snap *snapshot, row *table.Route, name string) bool {
+	for _, w := range row.Pools {
+		if snap.serviceOf(w.Pool) == name && c.hasPool(row, w.Pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // TablesNow returns the version of the tables in force, and whether they allow the
 // attempt d of r.
 func (c *Core) TablesNow(r *Request, d *Decision) (version uint64, allowed bool) {
 	snap := c.snapshot.Load()
 	version = snap.tables.Version
-	return version, r.TablesVersion >= version || c.allows(snap, r, d)
+	return version, d.TablesVersion >= version || c.allows(snap, r, d)
 }
 
 // allows reports whether the tables of snap have a route for r that includes the pool
--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -23,13 +23,19 @@
 	if !now.Before(r.Deadline) {
 		return refuse(fault.KindDeadlinePassed)
 	}
+	snap := c.snapshot.Load()
+	if !c.bind(snap, r) {
+		return refuse(fault.KindNoTarget)
+	}
 	counted, ok := c.poison.Start(now, r.Fingerprint)
 	if !ok {
 		return refuse(fault.KindPoisonHeld)
 	}
-	snap := c.snapshot.Load()
-	d := c.refuseIfOutlastsStop(now, r, c.decide(snap, now, r))
-	d.setRequest(snap, r)
+	d := c.decide(snap, now, r)
+	d.setRequest(r)
+	if c.stopAt.Load() != nil {
+		d = c.refuseIfOutlastsStop(now, d)
+	}
 	switch d.Verdict {
 	case Refuse, Wait:
 		if counted {
@@ -44,11 +50,12 @@
 	return d
 }
 
-// setRequest records in d what the later steps of the attempt need of r and snap.
-func (d *Decision) setRequest(snap *snapshot, r *Request) {
+// setRequest records in d what the later steps of the attempt need of r, which decisions
+// on further attempts may change at the same time.
+func (d *Decision) setRequest(r *Request) {
 	d.fingerprint = r.Fingerprint
-	d.row = r.Route
-	d.TablesVersion = snap.tables.Version
+	d.row, d.TablesVersion = r.Route, r.TablesVersion
+	d.affinity = r.usesAffinity()
 }
 
 // decide chooses a pool for r, and a target or zone of the pool.
--- a/pkg/decision/steer/direct.go
+++ b/pkg/decision/steer/direct.go
@@ -139,7 +139,7 @@
 		rt.bodySize.Observe(r.BodyBytes)
 	}
 	ns := c.nanos(now)
-	est := rt.estimate(r)
+	est := rt.estimate(r.Route, r.usesAffinity())
 	if c.without(mechanism.Admission) {
 		est.maxWait = maxDuration
 	}
--- a/pkg/decision/steer/estimate.go
+++ b/pkg/decision/steer/estimate.go
@@ -107,9 +107,10 @@
 	coldPenalty time.Duration
 }
 
-// estimate returns the expected costs of r on rt.
-func (rt *route) estimate(r *Request) estimate {
-	targetLatency := r.Route.TargetLatency.Std()
+// estimate returns the expected costs of a request on rt, whose row is given. affinity is
+// set if it matters which target the request is sent to.
+func (rt *route) estimate(row *table.Route, affinity bool) estimate {
+	targetLatency := row.TargetLatency.Std()
 	if targetLatency <= 0 {
 		targetLatency = table.DefaultTimeout / 2
 	}
@@ -119,7 +120,7 @@
 		coldWork:      rt.coldWork.Value(time.Duration(priorColdFraction * float64(targetLatency))),
 	}
 	e.maxWait = time.Duration(maxWaitFraction * float64(targetLatency))
-	if !r.usesAffinity() {
+	if !affinity {
 		// Without affinity all targets are equally warm.
 		e.coldWork = e.warmWork
 		return e
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -118,7 +118,7 @@
 		r.mayHaveRun = true
 		r.unknownKind = res.Kind
 	}
-	if !retryable(res.Kind) || r.Pool != "" || r.Attempts >= r.attemptLimit() || !now.Before(r.Deadline) {
+	if !retryable(res.Kind) || !c.mayFollow(now, r) {
 		return false
 	}
 	if r.mayHaveRun && !r.Idempotent {
@@ -127,6 +127,11 @@
 	return costNoWork(res.Kind) || c.retryBudget(r).TryWithdraw()
 }
 
+// mayFollow reports whether the tables in force allow a further attempt of r at now.
+func (c *Core) mayFollow(now time.Time, r *Request) bool {
+	return r.Pool == "" && now.Before(r.Deadline) && c.bind(c.snapshot.Load(), r) && r.Attempts < attemptLimit(r.Route)
+}
+
 // costNoWork reports whether an attempt that ended with k cost no target any work,
 // since no byte of it was sent.
 func costNoWork(k fault.Kind) bool {
@@ -165,8 +170,5 @@
 // AllowHedge reports whether a hedge of r may start at now, and withdraws it
 // from the retry budget.
 func (c *Core) AllowHedge(now time.Time, r *Request) bool {
-	if !r.Idempotent || r.Pool != "" || r.Attempts >= r.attemptLimit() || !now.Before(r.Deadline) {
-		return false
-	}
-	return c.retryBudget(r).TryWithdraw()
+	return c.mayFollow(now, r) && r.Idempotent && c.retryBudget(r).TryWithdraw()
 }
--- a/pkg/decision/steer/objects_test.go
+++ b/pkg/decision/steer/objects_test.go
@@ -120,28 +120,44 @@
 	}
 }
 
-// TestRetryIsRefusedAfterItsServiceIsRemoved changes the tables between two
-// attempts of a request.
-func TestRetryIsRefusedAfterItsServiceIsRemoved(t *testing.T) {
+// refusedOnce returns a Core with a request of which an attempt was refused by its target, and
+// the next version of the tables, with the pools that change returns.
+func refusedOnce(t *testing.T, change func(pools []table.Pool) []table.Pool) (*Core, *Request, *table.Tables) {
+	t.Helper()
 	tb := twoZoneTables(10, 2, 8)
 	c := zoneCore(tb, "osrednja", "a")
 	r := bodyRequest(tb, 3, smallBody)
 	d := mustDispatch(t, c.Decide(at(time.Second), r))
 	c.Done(at(time.Second), d, Result{Kind: fault.KindTargetRefused})
 	r.Attempts++
-	next := *tb
+	next := tb.Clone()
 	next.Version++
-	next.Pools = nil
-	for _, p := range tb.Pools {
-		p.Service = "another"
-		next.Pools = append(next.Pools, p)
-	}
-	c.SetTables(at(time.Second), &next)
+	next.Pools = change(next.Pools)
+	return c, r, next
+}
+
+func TestRetryIsRefusedAfterItsServiceIsRemoved(t *testing.T) {
+	c, r, next := refusedOnce(t, func([]table.Pool) []table.Pool { return nil })
+	next.Routes[0].Pools = nil
+	c.SetTables(at(time.Second), next)
 	if d := c.Decide(at(time.Second), r); d.Verdict != Refuse || d.Kind != fault.KindNoTarget {
 		t.Errorf("verdict %v, kind %v, want a refusal with no-target", d.Verdict, d.Kind)
 	}
 }
 
+func TestRetryGoesToTheServiceThatTakesOverThePools(t *testing.T) {
+	c, r, next := refusedOnce(t, func(pools []table.Pool) []table.Pool {
+		for i := range pools {
+			pools[i].Service = "another"
+		}
+		return pools
+	})
+	c.SetTables(at(time.Second), next)
+	if d := mustDispatch(t, c.Decide(at(time.Second), r)); r.service != "another" || next.Pool(d.Pool) == nil {
+		t.Errorf("service %s, pool %s", r.service, d.Pool)
+	}
+}
+
 // TestFurtherTargetTakesOnlyWhatTheFirstHasNoRoomFor replays requests for one object where
 // warming up costs little. Each target that an object is sent to must learn it, and forgets
 // another one for it.
--- a/pkg/decision/steer/stop.go
+++ b/pkg/decision/steer/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
 )
 
 // completionFactor times the expected duration of a request must remain until the stop of
@@ -21,39 +22,41 @@
 	return float64(stop.Sub(now)) < completionFactor*float64(expected)
 }
 
-// LatestStart returns the time from which on r, which has not been decided on, is too late
-// to be passed on, and false unless this instance stops.
-func (c *Core) LatestStart(r *Request) (at time.Time, ok bool) {
+// LatestStart returns the time from which on a request of a route that has not been decided
+// on is too late to be passed on, and false unless this instance stops. row and objectKey
+// are those of the request.
+func (c *Core) LatestStart(row *table.Route, objectKey uint64) (at time.Time, ok bool) {
 	stop := c.stopAt.Load()
 	if stop == nil {
 		return time.Time{}, false
 	}
 	snap, expected := c.snapshot.Load(), priorServiceTime
-	rt, known := snap.routes[r.Route.Name]
+	rt, known := snap.routes[row.Name]
 	switch {
 	case known && c.direct != nil:
-		expected = rt.estimate(r).warmWork
-	case len(r.Route.Pools) > 0 && snap.pools[r.Route.Pools[0].Pool] != nil:
-		expected = snap.pools[r.Route.Pools[0].Pool].serviceTime.Value(priorServiceTime)
+		expected = rt.estimate(row, usesAffinity(row, objectKey)).warmWork
+	case len(row.Pools) > 0 && snap.pools[row.Pools[0].Pool] != nil:
+		expected = snap.pools[row.Pools[0].Pool].serviceTime.Value(priorServiceTime)
 	}
 	return stop.Add(-time.Duration(completionFactor * float64(expected))), true
 }
 
-// outlastsStop reports whether r is likely to be cut off if d is carried out at now.
-func (c *Core) outlastsStop(now time.Time, r *Request, d *Decision) bool {
+// outlastsStop reports whether the request is likely to be cut off if d is carried out at
+// now.
+func (c *Core) outlastsStop(now time.Time, d *Decision) bool {
 	stop := c.stopAt.Load()
-	return stop != nil && tooLate(now, *stop, c.expectedDuration(r, d))
+	return stop != nil && tooLate(now, *stop, c.expectedDuration(d))
 }
 
-// expectedDuration estimates the time until the response to r if d is carried out.
-func (c *Core) expectedDuration(r *Request, d *Decision) time.Duration {
+// expectedDuration estimates the time until the response if d is carried out.
+func (c *Core) expectedDuration(d *Decision) time.Duration {
 	if d.route == nil {
 		if p, ok := c.snapshot.Load().pools[d.Pool]; ok {
 			return p.serviceTime.Value(priorServiceTime)
 		}
 		return priorServiceTime
 	}
-	estimate := d.route.estimate(r)
+	estimate := d.route.estimate(d.row, d.affinity)
 	work := estimate.coldWork
 	if d.warm {
 		work = estimate.warmWork
@@ -61,9 +64,9 @@
 	return d.expectedWait + d.networkCost + work
 }
 
-// refuseIfOutlastsStop returns d, or a refusal if r is likely to be cut off.
-func (c *Core) refuseIfOutlastsStop(now time.Time, r *Request, d Decision) Decision {
-	if d.Verdict != Dispatch && d.Verdict != Hop || !c.outlastsStop(now, r, &d) {
+// refuseIfOutlastsStop returns d, or a refusal if the request is likely to be cut off.
+func (c *Core) refuseIfOutlastsStop(now time.Time, d Decision) Decision {
+	if d.Verdict != Dispatch && d.Verdict != Hop || !c.outlastsStop(now, &d) {
 		return d
 	}
 	d.release()
@@ -89,5 +92,5 @@
 // no byte has been sent, must not be sent at now: its target has begun to leave, or this
 // instance is about to stop. Another call of Decide then chooses again.
 func (c *Core) MustNotSend(now time.Time, r *Request, d *Decision) bool {
-	return c.TargetLeaving(d) || c.outlastsStop(now, r, d)
+	return c.TargetLeaving(d) || c.outlastsStop(now, d)
 }
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -21,7 +21,7 @@
 // request's whole life and passes the same one to each decision.
 type Request struct {
 	// Route is the matched row of the tables, and TablesVersion the version of the
-	// tables that it belongs to.
+	// tables that it belongs to. Each decision under newer tables replaces both.
 	Route         *table.Route
 	TablesVersion uint64
 	// Host and Path are what the route was matched by; see table.Matcher.Match. Path is
@@ -34,8 +34,12 @@
 	// Member is the member on whose behalf the caller sends the request. It is
 	// used only for fairness.
 	Member string
-	// Idempotent reports whether the request may run more than once.
+	// Idempotent reports whether the request may run more than once. Newer tables may
+	// only clear it.
 	Idempotent bool
+	// Method is the method of the request if its route determines whether it is
+	// idempotent; empty if the caller has.
+	Method string
 	// Fingerprint identifies repeats of the same request for the poison check.
 	// Zero disables the check.
 	Fingerprint uint64
@@ -82,9 +86,9 @@
 	return false
 }
 
-// attemptLimit returns the largest number of attempts of r.
-func (r *Request) attemptLimit() int {
-	if n := r.Route.MaxAttempts; n > 0 {
+// attemptLimit returns the largest number of attempts of a request of the route.
+func attemptLimit(row *table.Route) int {
+	if n := row.MaxAttempts; n > 0 {
 		return min(n, maxAttempts)
 	}
 	return maxAttempts
@@ -139,16 +143,18 @@
 	// its request.
 	dispatchedAt int64
 	deadline     int64
-	// poisonCounted is set when the poison tracker counts the attempt as
-	// running.
-	poisonCounted bool
+	// row is the row of the request's route that the decision is based on.
+	row *table.Route
 	// route and warm are set by direct dispatch. warm is set when this instance
 	// has sent the request's object to the target before, or there is no
 	// object.
 	route *route
 	warm  bool
-	// row is the row of the request's route that the decision is based on.
-	row *table.Route
+	// poisonCounted is set when the poison tracker counts the attempt as
+	// running.
+	poisonCounted bool
+	// affinity is set if it matters which target the request is sent to.
+	affinity bool
 	// expectedWait is how long the request was expected to wait at the target.
 	expectedWait time.Duration
 	// networkCost is the estimated cost of the network path to the target.
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -207,7 +207,7 @@
 		d = refuse(fault.KindPoisonHeld)
 	}
 	d.poisonCounted = counted
-	d.setRequest(snap, r)
+	d.setRequest(r)
 	c.waitQueues.resolve(item, d)
 	return true
 }
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -34,6 +34,11 @@
 	ctx     context.Context
 	start   time.Time
 	result  steer.Result
+	// route is the name of the request's route, and idempotent whether the request may run
+	// more than once, when the attempt was decided on. The decision on another attempt may
+	// change the request at the same time.
+	route      string
+	idempotent bool
 	// sentAfter is the time from the arrival of the request until its first byte was
 	// about to be sent to the target, in nanoseconds; zero before.
 	sentAfter atomic.Int64
@@ -59,7 +64,10 @@
 	} else {
 		x.req.Exclude(d.Target)
 	}
-	return &attempt{x: x, decision: d, httpReq: x.httpReq, ctx: ctx, start: x.node.now()}
+	return &attempt{
+		x: x, decision: d, httpReq: x.httpReq, ctx: ctx, start: x.node.now(),
+		route: x.req.Route.Name, idempotent: x.req.Idempotent,
+	}
 }
 
 // send makes the attempt up to the header of the response and the part of the body
@@ -105,7 +113,7 @@
 	if _, limited := a.decision.RateLimit(); limited && a.x.node.metrics != nil {
 		a.x.node.metrics.CountRateLimitedRequest()
 	}
-	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !req.Idempotent, Withdrawn: a.withdrawn}
+	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !a.idempotent, Withdrawn: a.withdrawn}
 	resp, err := c.Send(a.ctx, a.httpReq, a.x.body, req.Deadline, options)
 	if resp != nil {
 		a.x.handleNotice(a.decision, resp.Notice)
@@ -169,8 +177,8 @@
 	}
 	req := &a.x.req
 	resp, err := c.Forward(a.ctx, a.httpReq, a.x.body, hop.Decision{
-		Route: req.Route.Name, Pool: a.decision.Pool, TablesVersion: a.x.snapshot.tables.Version,
-		Idempotent: req.Idempotent, Deadline: req.Deadline,
+		Route: a.route, Pool: a.decision.Pool, TablesVersion: a.x.snapshot.tables.Version,
+		Idempotent: a.idempotent, Deadline: req.Deadline,
 	})
 	if err != nil {
 		return err
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -149,8 +149,10 @@
 		return func() {}
 	}
 	ended := make(chan struct{})
+	// Decisions on the request change it while the body arrives.
+	row, objectKey := x.req.Route, x.req.ObjectKey
 	unwatch := context.AfterFunc(x.node.stopping, func() {
-		latest, _ := x.node.core.LatestStart(&x.req)
+		latest, _ := x.node.core.LatestStart(row, objectKey)
 		select {
 		case <-ended:
 		case <-time.After(latest.Sub(x.node.now())):
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -154,6 +154,7 @@
 			Arrived:       now,
 			Deadline:      deadline,
 			ObjectKey:     objectKey(fields.Object),
+			Method:        routedMethod(&fields, r.Method),
 		},
 		id: fields.ID, object: fields.Object,
 	}
@@ -171,6 +172,15 @@
 	}
 }
 
+// routedMethod returns method if the route determines whether the request is idempotent,
+// else "".
+func routedMethod(f *caller.RequestFields, method string) string {
+	if f.IdempotentSet {
+		return ""
+	}
+	return method
+}
+
 // serve runs the request with the id rawID. A non-idempotent request with an id
 // goes through the registry of submissions, which keeps it from running twice.
 // The registry is skipped when the dialect's ids are opaque, when the request is
--- /dev/null
+++ b/pkg/node/newtables_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// setTables puts tables in force at inst and waits until they are.
+func (inst *testInstance) setTables(tables *table.Tables) {
+	inst.cluster.tables.Store(tables.WithDefaults())
+	inst.cluster.updates <- struct{}{}
+	for inst.core.Tables().Version != tables.Version {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// losesFirst is the handler of targets. The first request that any of them receives waits for
+// release and then loses its connection; the others get an answer at once.
+type losesFirst struct {
+	requests         atomic.Int32
+	started, release chan struct{}
+}
+
+func newLosesFirst() *losesFirst {
+	return &losesFirst{started: make(chan struct{}), release: make(chan struct{})}
+}
+
+func (l *losesFirst) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if l.requests.Add(1) == 1 {
+		close(l.started)
+		<-l.release
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "old")
+}
+
+// getAside is get in a goroutine of its own.
+func getAside(t *testing.T, url string) (body chan string) {
+	body = make(chan string, 1)
+	go func() {
+		resp, err := http.Get(url)
+		if err != nil {
+			t.Error(err)
+			body <- ""
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		body <- string(b)
+	}()
+	return body
+}
+
+// twoRegions returns the version n of the tables of a service with two targets in each of
+// two regions, of which the route allows one.
+func twoRegions(n uint64, region string, addresses map[string]string) *table.Tables {
+	t := oneTarget("", "osrednja-a")
+	t.Version, t.Pools, t.Regions = n, nil, nil
+	row := &t.Routes[0]
+	row.Pools, row.Regions = nil, []string{region}
+	for _, name := range []string{"osrednja", "stajerska"} {
+		p := table.Pool{Name: "feedlog." + name, Service: "feedlog", Region: name, ShiftCap: 1}
+		for _, suffix := range []string{"1", "2"} {
+			p.Targets = append(p.Targets, table.Target{Name: name + suffix, Address: addresses[name+suffix], Zone: name + "-a", Slots: 8})
+		}
+		t.Pools = append(t.Pools, p)
+		t.Regions = append(t.Regions, table.Region{Name: name})
+		row.Pools = append(row.Pools, table.PoolWeight{Pool: p.Name, Weight: 1})
+	}
+	return t
+}
+
+func directMode(s *settings.Settings) { s.Dispatch.Mode = settings.DispatchDirect }
+
+// answerNew answers "new".
+func answerNew(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "new") }
+
+// A request whose target is lost after its route has moved to another region must be sent
+// there, not to the region that only the tables at its arrival allowed.
+func TestFurtherAttemptGoesToTheRegionThatIsAllowedByThen(t *testing.T) {
+	l := newLosesFirst()
+	addresses := map[string]string{
+		"osrednja1": startTarget(t, l.serve), "osrednja2": startTarget(t, l.serve),
+		"stajerska1": startTarget(t, answerNew), "stajerska2": startTarget(t, answerNew),
+	}
+	inst := startInstanceWith(t, "a-1", "osrednja-a", directMode)
+	inst.run(t, twoRegions(1, "osrednja", addresses))
+	body := getAside(t, inst.url()+"/feedlog")
+	<-l.started
+	inst.setTables(twoRegions(2, "stajerska", addresses))
+	close(l.release)
+	if got := <-body; got != "new" || l.requests.Load() != 1 {
+		t.Errorf("response %q, %d requests in the region that is not allowed any more", got, l.requests.Load())
+	}
+}
--- a/pkg/peer/caller/request.go
+++ b/pkg/peer/caller/request.go
@@ -78,17 +78,7 @@
 	if f.IdempotentSet {
 		return f.Idempotent
 	}
-	switch r.Idempotency {
-	case table.IdempotentAlways:
-		return true
-	case table.IdempotentNever:
-		return false
-	}
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace:
-		return true
-	}
-	return false
+	return r.IsIdempotent(method)
 }
 
 // RequestPath returns the path of r as the caller sent it, without the query. It is
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -2,7 +2,10 @@
 // types, YAML format, validation, and the differences between versions. It does no I/O.
 package table
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Tables is one version of both tables. It must not be modified after it is built.
 type Tables struct {
@@ -226,6 +229,22 @@
 	return nil
 }
 
+// IsIdempotent reports whether requests with the given method are idempotent by the
+// setting of the route.
+func (r *Route) IsIdempotent(method string) bool {
+	switch r.Idempotency {
+	case IdempotentAlways:
+		return true
+	case IdempotentNever:
+		return false
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // Route returns the route with the given name, or nil.
 func (t *Tables) Route(name string) *Route {
 	for i := range t.Routes {
