Check a request against the tables in force right before its first byte

Callers saw requests run outside the regions that their route allows, or at a service that it had left, when the tables had changed between the decision and the first byte: while a connection was being opened, or a body was still arriving. MustNotSend asked whether the target was leaving, and nothing about the route.

It now matches the request again if the tables are newer than the decision, and withdraws it if its route is gone, has not the pool, does not allow the pool's region or so many attempts, or lets a request that may have run not run again. Another decision follows, under the tables in force. The check uses only what no decision changes, so a hedge may be decided at the same time.

--- a/pkg/decision/steer/bind.go
+++ b/pkg/decision/steer/bind.go
@@ -61,13 +61,17 @@
 }
 
 // allows reports whether the tables of snap have a route for r that includes the pool
-// of d and, with direct dispatch, allows its region.
+// of d, with direct dispatch also allows its region, and lets r have the attempt. Of r it
+// uses only what no decision changes.
 func (c *Core) allows(snap *snapshot, r *Request, d *Decision) bool {
 	row := snap.rowFor(r, d.row.Name)
 	p, ok := snap.pools[d.Pool]
 	if row == nil || !ok || !c.hasPool(row, d.Pool) {
 		return false
 	}
+	if int(d.attempt) > attemptLimit(row) || d.repeat && !r.mayRepeat(row) {
+		return false
+	}
 	return c.direct == nil || allowsRegion(row.Regions, p.row.Region)
 }
 
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -170,5 +170,9 @@
 // AllowHedge reports whether a hedge of r may start at now, and withdraws it
 // from the retry budget.
 func (c *Core) AllowHedge(now time.Time, r *Request) bool {
-	return c.mayFollow(now, r) && r.Idempotent && c.retryBudget(r).TryWithdraw()
+	if !c.mayFollow(now, r) || !r.Idempotent || !c.retryBudget(r).TryWithdraw() {
+		return false
+	}
+	r.hedged = true
+	return true
 }
--- a/pkg/decision/steer/stop.go
+++ b/pkg/decision/steer/stop.go
@@ -89,8 +89,12 @@
 }
 
 // MustNotSend reports whether r, which was to be passed on by the decision d and of which
-// no byte has been sent, must not be sent at now: its target has begun to leave, or this
-// instance is about to stop. Another call of Decide then chooses again.
+// no byte has been sent, must not be sent at now: the tables in force do not allow it, its
+// target has begun to leave, or this instance is about to stop. Another call of Decide then
+// chooses again.
 func (c *Core) MustNotSend(now time.Time, r *Request, d *Decision) bool {
+	if _, allowed := c.TablesNow(r, d); !allowed {
+		return true
+	}
 	return c.TargetLeaving(d) || c.outlastsStop(now, d)
 }
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -61,6 +61,8 @@
 	mayHaveRun bool
 	// unknownKind is the error kind of the first such attempt.
 	unknownKind fault.Kind
+	// hedged is set once a hedge was allowed, which may run beside an earlier attempt.
+	hedged bool
 	// service is the service that direct dispatch has chosen for the request.
 	service string
 }
@@ -155,6 +157,10 @@
 	poisonCounted bool
 	// affinity is set if it matters which target the request is sent to.
 	affinity bool
+	// repeat is set if an earlier attempt may have run, or may still run.
+	repeat bool
+	// attempt is the number of the attempt, from 1.
+	attempt uint8
 	// expectedWait is how long the request was expected to wait at the target.
 	expectedWait time.Duration
 	// networkCost is the estimated cost of the network path to the target.
--- a/pkg/fault/kind.go
+++ b/pkg/fault/kind.go
@@ -49,7 +49,7 @@
 	KindHopRefused    // not forwarded, or not accepted by the other instance
 	KindTargetRefused // no byte was sent to the target
 	KindTargetShed    // the target refused the request without running it
-	KindTargetLeaving // the chosen target was found to be leaving before any byte was sent to it
+	KindTargetLeaving // the chosen target was found to be leaving, or not allowed any more, before any byte was sent to it
 
 	// Failed after a dispatch; a target may have run the request.
 	KindTargetTimeout
--- a/pkg/node/newtables_test.go
+++ b/pkg/node/newtables_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -100,3 +101,32 @@
 		t.Errorf("response %q, %d requests in the region that is not allowed any more", got, l.requests.Load())
 	}
 }
+
+// A request whose connection is being opened when its route moves to another region must be
+// sent there.
+func TestPlacedRequestGoesToTheRegionThatIsAllowedWhenItIsSent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var old atomic.Int32
+		count := func(w http.ResponseWriter, _ *http.Request) { old.Add(1) }
+		addresses := map[string]string{
+			"osrednja1": startTarget(t, count), "osrednja2": startTarget(t, count),
+			"stajerska1": startTarget(t, answerNew), "stajerska2": startTarget(t, answerNew),
+		}
+		inst := startInstanceWith(t, "a-1", "osrednja-a", directMode)
+		onceAssigned(inst, func(string) { inst.core.SetTables(time.Now(), twoRegions(2, "stajerska", addresses).WithDefaults()) })
+		inst.run(t, twoRegions(1, "osrednja", addresses))
+		r, err := http.NewRequestWithContext(t.Context(), method, inst.url()+"/feedlog", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if string(body) != "new" || old.Load() != 0 {
+			t.Errorf("%s: status %d, response %q, %d requests in the region that is not allowed any more", method, resp.StatusCode, body, old.Load())
+		}
+	}
+}
