Send an attempt to the targets in force, not those of the request's arrival

Callers got 502 or 503 although a target could have served them: a further attempt, a hedge or a request that had waited was assigned a target that had joined after the request's arrival, and the exchange had the clients of its arrival only. The attempt failed as target-refused, which also marked the sound target as unreachable until a probe. A target that had moved to another address since was reached at the old one, unless the check before the first byte saw it.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -105,9 +105,9 @@
 
 // dispatch sends the request to the target.
 func (a *attempt) dispatch() error {
-	c, ok := a.x.snapshot.targets[a.decision.Target]
-	if !ok {
-		return fault.New(fault.KindTargetRefused, "target %s is not among the current targets of this instance", a.decision.Target)
+	c, ok := a.x.node.snapshot.Load().targets[a.decision.Target]
+	if !ok || c.Pool().Address() != a.decision.Address {
+		return fault.New(fault.KindTargetLeaving, "target %s is not among the current targets of this instance at %s", a.decision.Target, a.decision.Address)
 	}
 	req := &a.x.req
 	if _, limited := a.decision.RateLimit(); limited && a.x.node.metrics != nil {
@@ -195,7 +195,7 @@
 
 // pickPeer returns the client of a random instance of zone, or nil without one.
 func (x *exchange) pickPeer(zone string) *hop.Client {
-	peers := x.snapshot.zonePeers[zone]
+	peers := x.node.snapshot.Load().zonePeers[zone]
 	if len(peers) == 0 {
 		return nil
 	}
--- a/pkg/node/newtables_test.go
+++ b/pkg/node/newtables_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -130,3 +131,21 @@
 		}
 	}
 }
+
+// A further attempt may go to a target that the tables at the arrival did not have.
+func TestFurtherAttemptReachesTargetThatHasJoinedSince(t *testing.T) {
+	l := newLosesFirst()
+	v1 := oneTarget(startTarget(t, l.serve), "osrednja-a")
+	inst := startInstance(t, "a-1", "osrednja-a")
+	inst.run(t, v1)
+	body := getAside(t, inst.url()+"/feedlog")
+	<-l.started
+	v2 := *v1
+	v2.Version, v2.Pools = 2, slices.Clone(v1.Pools)
+	v2.Pools[0].Targets = []table.Target{{Name: "t2", Address: startTarget(t, answerNew), Zone: "osrednja-a", Slots: 8}}
+	inst.setTables(&v2)
+	close(l.release)
+	if got := <-body; got != "new" {
+		t.Errorf("response %q", got)
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -197,7 +197,8 @@
 	n.rebuildSnapshot()
 	members, complete := n.members()
 	n.core.SetInstances(now, members, complete)
-	if t := n.cluster.Tables(); t != nil {
+	// Every target of the tables in force has a client.
+	if t := n.snapshot.Load().tables; t.Version != 0 {
 		n.core.SetTables(now, t)
 		if !n.clusterSetsShares && !n.direct() {
 			n.core.SetShares(now, n.cluster.Shares())
--- a/pkg/node/panic_test.go
+++ b/pkg/node/panic_test.go
@@ -14,12 +14,13 @@
 // its own, as a hedge does. Unrecovered, the panic would end the process.
 func TestPanicInAnAttemptEndsThatAttemptOnly(t *testing.T) {
 	inst := startInstance(t, "a-1", "osrednja-a")
-	inst.run(t, oneTarget(startTarget(t, echo), "osrednja-a"))
+	address := startTarget(t, echo)
+	inst.run(t, oneTarget(address, "osrednja-a"))
 	ended := make(chan *attempt)
 	go func() {
-		// An exchange without a snapshot panics when the attempt uses it.
+		// An exchange without a body panics when the attempt uses it.
 		x := &exchange{node: inst.Node, req: steer.Request{Deadline: time.Now().Add(time.Second)}}
-		broken := &attempt{x: x, decision: steer.Decision{Verdict: steer.Dispatch, Target: "t1"}, httpReq: &http.Request{Header: http.Header{}}, ctx: context.Background()}
+		broken := &attempt{x: x, decision: steer.Decision{Verdict: steer.Dispatch, Target: "t1", Address: address}, httpReq: &http.Request{Header: http.Header{}}, ctx: context.Background()}
 		broken.send()
 		ended <- broken
 	}()
