Check the requests that wait for a slot against the tables in force

With zone dispatch, callers saw requests run in a pool that their route had left, or on a route that was gone, when the tables changed while they waited; or they waited there in vain until their queue timeout although the route's new pool had room. A queued request kept the pool and the row of its arrival.

All queued requests are now checked when new tables are in force, and the first of a queue also when its slot comes. One whose route has left the pool is refused with target-leaving, on which the exchange decides again at once; one without a route, or one that another instance has forwarded for that pool, with no-target.

--- a/pkg/decision/queue/queue.go
+++ b/pkg/decision/queue/queue.go
@@ -4,7 +4,10 @@
 package queue
 
 import (
+	"cmp"
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -143,6 +146,11 @@
 	return item
 }
 
+// Items returns the waiting items, ordered by ticket.
+func (q *Queue) Items() []*Item {
+	return slices.SortedFunc(maps.Values(q.tickets), func(a, b *Item) int { return cmp.Compare(a.Ticket, b.Ticket) })
+}
+
 // PopExpired removes and returns the item that expires first if its ExpiresAt is
 // not after now, or returns nil.
 func (q *Queue) PopExpired(now time.Time) *Item {
--- a/pkg/decision/queue/queue_test.go
+++ b/pkg/decision/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +154,18 @@
 		})
 	})
 }
+
+func TestItemsAreOrderedByTicket(t *testing.T) {
+	q := New(10)
+	for _, ticket := range []uint64{4, 2, 9, 7} {
+		q.Push(&Item{Ticket: ticket, Member: fmt.Sprint("m", ticket%2), Class: Class(ticket % 3)})
+	}
+	q.Remove(9)
+	var got []uint64
+	for _, item := range q.Items() {
+		got = append(got, item.Ticket)
+	}
+	if !slices.Equal(got, []uint64{2, 4, 7}) {
+		t.Errorf("tickets %v", got)
+	}
+}
--- a/pkg/decision/steer/bind.go
+++ b/pkg/decision/steer/bind.go
@@ -1,6 +1,9 @@
 package steer
 
-import "github.com/jacinthramp/jacinthramp/pkg/table"
+import (
+	"github.com/jacinthramp/jacinthramp/pkg/fault"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
 
 // Match returns the route for host and path in the tables in force, or nil if there is
 // none, and the version of these tables; see table.Matcher.Match.
@@ -37,6 +40,19 @@
 	return true
 }
 
+// bindQueued is bind for a request that waits for a slot of the named pool. It returns a
+// refusal if r can't be served there any more.
+func (c *Core) bindQueued(snap *snapshot, r *Request, pool string) (refusal Decision, ok bool) {
+	bound := c.bind(snap, r)
+	switch {
+	case bound && (r.Pool != "" || c.hasPool(r.Route, pool)):
+		return Decision{}, true
+	case bound:
+		return refuse(fault.KindTargetLeaving), false
+	}
+	return refuse(fault.KindNoTarget), false
+}
+
 // mayRepeat reports whether row lets r, an idempotent request so far, run more than once.
 func (r *Request) mayRepeat(row *table.Route) bool {
 	return r.Method == "" || row.IsIdempotent(r.Method)
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -198,7 +198,9 @@
 	RateLimited bool
 }
 
-// Wakeup is the final decision on a queued request.
+// Wakeup is the final decision on a queued request. A refusal of the kind
+// fault.KindTargetLeaving means that the tables no longer allow the request where it waited;
+// another call of Decide then chooses again.
 type Wakeup struct {
 	Ticket   uint64
 	Decision Decision
--- a/pkg/decision/steer/wait.go
+++ b/pkg/decision/steer/wait.go
@@ -28,10 +28,13 @@
 	count      atomic.Int64
 	lastTicket atomic.Uint64
 
-	mu       sync.Mutex
-	pools    []*poolStats
-	byTicket map[uint64]*poolStats
-	ready    []Wakeup
+	mu sync.Mutex
+	// tablesVersion is the version of the tables under which all queued requests have been
+	// checked.
+	tablesVersion uint64
+	pools         []*poolStats
+	byTicket      map[uint64]*poolStats
+	ready         []Wakeup
 }
 
 func (w *waitQueues) init() { w.byTicket = make(map[uint64]*poolStats) }
@@ -41,6 +44,8 @@
 	w := &c.waitQueues
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	// Tables that are newer than snap may have been applied to the queues already.
+	w.tablesVersion = min(w.tablesVersion, snap.tables.Version)
 	class := classOf(r.Route.Priority)
 	deadline := c.waitDeadline(p.poolStats, now, r)
 	remaining := deadline.Sub(now)
@@ -142,8 +147,13 @@
 // highest class over all pools first. The caller holds mu.
 func (c *Core) serveQueues(snap *snapshot, now time.Time) {
 	w := &c.waitQueues
+	recheck := w.tablesVersion != snap.tables.Version
+	w.tablesVersion = snap.tables.Version
 	for _, p := range w.pools {
 		p.blocked = false
+		if recheck {
+			c.refuseDisallowed(snap, p)
+		}
 		c.refuseExpired(p, now)
 		c.refuseQueuedBeforeStop(p, now)
 	}
@@ -190,6 +200,10 @@
 	}
 	item := ps.queue.Peek()
 	r := item.Value.(*Request)
+	if refusal, ok := c.bindQueued(snap, r, ps.name); !ok {
+		c.waitQueues.resolve(ps.queue.Pop(), refusal)
+		return true
+	}
 	d := c.dispatchNow(snap, p, now, r)
 	if d.Kind == fault.KindShiftCapped && p.summaryOverdue.Load() {
 		// Queueing would only move the excess to a later shift window.
@@ -212,6 +226,17 @@
 	return true
 }
 
+// refuseDisallowed refuses the queued requests of p that the tables of snap do not allow
+// there. The caller holds mu.
+func (c *Core) refuseDisallowed(snap *snapshot, p *poolStats) {
+	for _, item := range p.queue.Items() {
+		if refusal, ok := c.bindQueued(snap, item.Value.(*Request), p.name); !ok {
+			p.queue.Remove(item.Ticket)
+			c.waitQueues.resolve(item, refusal)
+		}
+	}
+}
+
 // refuseExpired refuses the queued requests of p that can no longer be served
 // in time.
 func (c *Core) refuseExpired(p *poolStats, now time.Time) {
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -184,10 +184,21 @@
 // decide returns the final decision on the request. It blocks while the request
 // is queued.
 func (x *exchange) decide() steer.Decision {
-	d := x.node.core.Decide(x.node.now(), &x.req)
-	if d.Verdict != steer.Wait {
-		return d
+	for {
+		d := x.node.core.Decide(x.node.now(), &x.req)
+		if d.Verdict != steer.Wait {
+			return d
+		}
+		// The request may have to wait elsewhere after the tables have changed.
+		if final := x.awaitDecision(d); final.Kind != fault.KindTargetLeaving {
+			return final
+		}
 	}
+}
+
+// awaitDecision returns the final decision on the request, which is queued under the
+// ticket of d.
+func (x *exchange) awaitDecision(d steer.Decision) steer.Decision {
 	x.node.signalQueued()
 	decided := x.node.waiters.channel(d.Ticket)
 	defer x.node.waiters.remove(d.Ticket)
--- a/pkg/node/newtables_test.go
+++ b/pkg/node/newtables_test.go
@@ -149,3 +149,45 @@
 		t.Errorf("response %q", got)
 	}
 }
+
+// A request that waits for a slot of a pool that its route leaves must go to the new pool at
+// once.
+func TestWaitingRequestFollowsItsRouteToAnotherPool(t *testing.T) {
+	inst, started, release := startOneSlot(t, 5*time.Second)
+	first, second := make(chan struct{}), make(chan string, 1)
+	go func() {
+		_, _, _ = post(t.Context(), inst, "/feedlog/1")
+		close(first)
+	}()
+	<-started
+	go func() {
+		_, body, _ := post(t.Context(), inst, "/feedlog/2")
+		second <- body
+	}()
+	for inst.core.PoolViews(time.Now())[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	v2 := inst.core.Tables().Clone()
+	v2.Version++
+	v2.Routes[0].Pools[0].Pool = "other"
+	v2.Pools = append(v2.Pools, table.Pool{
+		Name: "other", Region: "osrednja", ShiftCap: 1,
+		Targets: []table.Target{{Name: "t2", Address: startTarget(t, answerNew), Zone: "osrednja-a", Slots: 8}},
+	})
+	v2.Regions[0].Limit = 0 // the default, which covers both pools
+	inst.setTables(v2)
+	select {
+	case body := <-second:
+		if body != "new" {
+			t.Errorf("response %q", body)
+		}
+	case <-time.After(time.Second):
+		t.Error("the request still waits for the pool that its route has left")
+	}
+	release <- struct{}{}
+	<-first
+	if len(started) != 0 {
+		t.Error("the pool that the route has left runs the request")
+		release <- struct{}{}
+	}
+}
