Don't count an attempt that was withdrawn before its first byte

Callers of routes with one allowed attempt got 503 (target-leaving) although the request had been sent nowhere and another target could have run it: the attempt that the tables, or the leaving of its target, had withdrawn was counted as the one allowed.

Withdrawn attempts no longer count towards the limit, up to four of them a request.

--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -56,7 +56,7 @@
 	d.fingerprint = r.Fingerprint
 	d.row, d.TablesVersion = r.Route, r.TablesVersion
 	d.affinity = r.usesAffinity()
-	d.attempt, d.repeat = uint8(r.Attempts+1), r.mayHaveRun || r.hedged
+	d.attempt, d.repeat = uint8(r.Attempts-r.withdrawn+1), r.mayHaveRun || r.hedged
 }
 
 // decide chooses a pool for r, and a target or zone of the pool.
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -118,6 +118,9 @@
 		r.mayHaveRun = true
 		r.unknownKind = res.Kind
 	}
+	if res.Kind == fault.KindTargetLeaving && r.withdrawn < maxWithdrawn {
+		r.withdrawn++
+	}
 	if !retryable(res.Kind) || !c.mayFollow(now, r) {
 		return false
 	}
@@ -129,7 +132,7 @@
 
 // mayFollow reports whether the tables in force allow a further attempt of r at now.
 func (c *Core) mayFollow(now time.Time, r *Request) bool {
-	return r.Pool == "" && now.Before(r.Deadline) && c.bind(c.snapshot.Load(), r) && r.Attempts < attemptLimit(r.Route)
+	return r.Pool == "" && now.Before(r.Deadline) && c.bind(c.snapshot.Load(), r) && r.Attempts-r.withdrawn < attemptLimit(r.Route)
 }
 
 // costNoWork reports whether an attempt that ended with k cost no target any work,
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -61,14 +61,21 @@
 	mayHaveRun bool
 	// unknownKind is the error kind of the first such attempt.
 	unknownKind fault.Kind
+	// withdrawn counts the attempts that were withdrawn before their first byte, up to
+	// maxWithdrawn. They do not count towards the limit.
+	withdrawn int
 	// hedged is set once a hedge was allowed, which may run beside an earlier attempt.
 	hedged bool
 	// service is the service that direct dispatch has chosen for the request.
 	service string
 }
 
-// maxAttempts bounds the dispatches and hops of one request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the dispatches and hops of one request.
+	maxAttempts = 4
+	// maxWithdrawn bounds the attempts of one request that were withdrawn and do not count.
+	maxWithdrawn = 4
+)
 
 // Exclude prevents name, a target or a zone, from being chosen again for r.
 func (r *Request) Exclude(name string) {
--- a/pkg/decision/steer/withdraw_test.go
+++ b/pkg/decision/steer/withdraw_test.go
@@ -134,3 +134,45 @@
 		t.Errorf("%d of %d requests are withdrawn", n, objects)
 	}
 }
+
+// An attempt that was withdrawn reached no target, so it is none of those that are allowed.
+func TestWithdrawnAttemptIsNotCounted(t *testing.T) {
+	one := func(n uint64, region string) *table.Tables {
+		return boundFleet.version(n, func(row *table.Route) { row.Regions, row.MaxAttempts = []string{region}, 1 })
+	}
+	v1 := one(1, "osrednja")
+	c := boundCore(v1)
+	all := placeAll(t, c, v1)
+	c.SetTables(at(2*time.Second), one(2, "stajerska"))
+	refused := 0
+	for i, d := range withdrawAll(c, all) {
+		if d.Verdict != Dispatch {
+			refused++
+			continue
+		}
+		all[i].Attempts++
+		if c.MustNotSend(at(2200*time.Millisecond), all[i].Request, &d) {
+			t.Error("the next attempt is withdrawn too")
+		}
+		if c.AllowRetry(at(2300*time.Millisecond), all[i].Request, Result{Kind: fault.KindTargetLost}) {
+			t.Error("a further attempt is allowed after one that was sent")
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d requests that were never sent get no other target", refused, objects)
+	}
+}
+
+// Attempts that are withdrawn without end must come to one.
+func TestRequestWhoseAttemptsAreAllWithdrawnEnds(t *testing.T) {
+	v1 := boundFleet.version(1, func(*table.Route) {})
+	c := boundCore(v1)
+	p := placeAll(t, c, v1)[0]
+	for range 2 * maxWithdrawn {
+		if !c.AllowRetry(at(time.Second), p.Request, Result{Kind: fault.KindTargetLeaving}) {
+			return
+		}
+		p.Attempts++
+	}
+	t.Errorf("a further attempt is allowed after %d that were withdrawn", p.Attempts)
+}
