Serve a forwarded request only in a pool that its route still has

With zone dispatch, callers saw a request run in a pool that its route had left: an instance with older tables forwarded it, and the receiving instance, with newer ones, looked only whether it had such a route and such a pool. The version that the forwarding instance sent was that of the request's arrival, and nobody read it. A hop that was placed before the tables changed was sent all the same.

The version sent is now that of the decision. If the receiving instance has newer tables, it checks the pool against the route and refuses with no-target (not run); if it has older ones, the decision of the forwarding instance stands. Right before its first byte a hop is checked like a dispatch, and withdrawn with target-leaving, which does not count against the other zone.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -177,8 +177,8 @@
 	}
 	req := &a.x.req
 	resp, err := c.Forward(a.ctx, a.httpReq, a.x.body, hop.Decision{
-		Route: a.route, Pool: a.decision.Pool, TablesVersion: a.x.snapshot.tables.Version,
-		Idempotent: a.idempotent, Deadline: req.Deadline,
+		Route: a.route, Pool: a.decision.Pool, TablesVersion: a.decision.TablesVersion,
+		Idempotent: a.idempotent, Deadline: req.Deadline, Withdrawn: a.withdrawn,
 	})
 	if err != nil {
 		return err
--- a/pkg/node/handler.go
+++ b/pkg/node/handler.go
@@ -60,7 +60,8 @@
 type match struct {
 	route   *table.Route
 	version uint64
-	// host and path are empty, and pool is set, if another instance has chosen route and pool.
+	// host and path are empty, and pool is set, if another instance has chosen route and
+	// pool. version is then that of its tables.
 	host, path string
 	pool       string
 }
@@ -107,7 +108,7 @@
 		refusal.Write(w)
 		return
 	}
-	n.serveExchange(w, r, match{route: route, version: tables.Version, pool: decision.Pool})
+	n.serveExchange(w, r, match{route: route, version: decision.TablesVersion, pool: decision.Pool})
 }
 
 // serveRepeat serves a repeat that another instance forwarded to this one, its
--- a/pkg/node/newtables_test.go
+++ b/pkg/node/newtables_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/wire"
 )
 
 // setTables puts tables in force at inst and waits until they are.
@@ -150,6 +151,24 @@
 	}
 }
 
+// An instance whose tables are newer than those of the instance that forwards a request must
+// not run the request in a pool that its route has left.
+func TestForwardedRequestIsNotRunInAPoolThatItsRouteHasLeft(t *testing.T) {
+	var runs atomic.Int32
+	v1 := oneTarget(startTarget(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }), "osrednja-b")
+	v2 := *v1
+	v2.Version, v2.Routes, v2.Pools = 2, slices.Clone(v1.Routes), slices.Clone(v1.Pools)
+	v2.Pools = append(v2.Pools, table.Pool{Name: "other", Region: "osrednja", ShiftCap: 1, Targets: []table.Target{{Name: "t2", Address: startTarget(t, answerNew), Zone: "osrednja-b", Slots: 8}}})
+	v2.Routes[0].Pools = []table.PoolWeight{{Pool: "other", Weight: 1}}
+	a, b := startInstance(t, "a-1", "osrednja-a"), startInstance(t, "b-1", "osrednja-b")
+	a.run(t, v1, a.self, b.self)
+	b.run(t, &v2, a.self, b.self)
+	resp, _ := get(t, a.url()+"/feedlog")
+	if resp.Header.Get(wire.HeaderOutcome) != "not-run" || runs.Load() != 0 {
+		t.Errorf("status %d, outcome %q, %d runs in the pool that the route has left", resp.StatusCode, resp.Header.Get(wire.HeaderOutcome), runs.Load())
+	}
+}
+
 // A request that waits for a slot of a pool that its route leaves must go to the new pool at
 // once.
 func TestWaitingRequestFollowsItsRouteToAnotherPool(t *testing.T) {
--- a/pkg/peer/hop/hop.go
+++ b/pkg/peer/hop/hop.go
@@ -28,6 +28,9 @@
 	Idempotent bool
 	// Deadline is the time by which the request must complete.
 	Deadline time.Time
+	// Withdrawn reports whether the request must not be sent any more; see
+	// upstream.SendOptions. It is nil at the receiving instance.
+	Withdrawn func() bool
 }
 
 // Client forwards requests to one instance.
@@ -67,7 +70,7 @@
 func (c *Client) Forward(ctx context.Context, in *http.Request, body *upstream.Body, decision Decision) (*Response, error) {
 	req := upstream.NewRequest(in, c.pool.Address(), body, nil)
 	setDecisionHeaders(req.Header, decision)
-	resp, err := c.pool.SendWithOptions(ctx, req, upstream.SendOptions{NonIdempotent: !decision.Idempotent})
+	resp, err := c.pool.SendWithOptions(ctx, req, upstream.SendOptions{NonIdempotent: !decision.Idempotent, Withdrawn: decision.Withdrawn})
 	if err != nil {
 		sendErr := upstream.AsError(err)
 		return nil, fault.Wrap(errorKind(sendErr), sendErr, "cannot forward the request to instance %s", c.instanceID)
@@ -126,6 +129,8 @@
 			return fault.KindTargetTimeout
 		}
 		return fault.KindDeadlinePassed
+	case upstream.ReasonWithdrawn:
+		return fault.KindTargetLeaving
 	}
 	if sendErr.MaybeSent {
 		return fault.KindHopLost
