Log sent_after only for attempts that were sent

The `request` line had sent_after, the time until the last attempt was sent, also for an attempt that was withdrawn before its first byte: the time was taken before the check that withdraws it. So a request that was sent nowhere looked as if it had been.

The time is now taken after the check.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -136,16 +136,17 @@
 // called right before the first byte is sent.
 func (a *attempt) withdrawn() bool {
 	now := a.x.node.now()
-	a.sentAfter.Store(now.Sub(a.x.req.Arrived).Nanoseconds())
 	if a.x.node.core.MustNotSend(now, &a.x.req, &a.decision) {
 		return true
 	}
-	a.recordSent()
+	a.recordSent(now)
 	return false
 }
 
-// recordSent records what the tables in force say about the attempt, which is sent now.
-func (a *attempt) recordSent() {
+// recordSent records that the attempt is sent at now, and what the tables in force say about
+// it.
+func (a *attempt) recordSent(now time.Time) {
+	a.sentAfter.Store(now.Sub(a.x.req.Arrived).Nanoseconds())
 	version, allowed := a.x.node.core.TablesNow(&a.x.req, &a.decision)
 	a.sentTables.Store(version)
 	if allowed {
--- a/pkg/node/requestlog_test.go
+++ b/pkg/node/requestlog_test.go
@@ -90,7 +90,7 @@
 	later.Version, later.Routes = 2, []table.Route{tables.Routes[0]}
 	later.Routes[0].PathPrefix = "/other"
 	inst.core.SetTables(now, &later)
-	a.recordSent()
+	a.recordSent(now)
 	inst.core.Done(now, a.decision, steer.Result{Kind: fault.KindTargetRefused})
 	if got := a.sentState(); got != (sentState{version: 2, disallowed: true}) {
 		t.Errorf("state %+v", got)
@@ -104,3 +104,31 @@
 		t.Errorf("the exposed metrics lack %s", want)
 	}
 }
+
+// TestRequestLineOfWithdrawnAttemptSaysThatNothingWasSent has the tables drain the only target
+// between the decision and the first byte.
+func TestRequestLineOfWithdrawnAttemptSaysThatNothingWasSent(t *testing.T) {
+	tables := oneTarget(startTarget(t, echo), "osrednja-a")
+	core, logged := observer.New(zap.InfoLevel)
+	inst := startInstance(t, "a-1", "osrednja-a")
+	inst.log = zap.New(core)
+	onceAssigned(inst, func(string) {
+		later := tables.Clone()
+		later.Version, later.Pools[0].Targets[0].Drain = 2, true
+		inst.core.SetTables(time.Now(), later)
+	})
+	inst.run(t, tables)
+	get(t, inst.url()+"/feedlog")
+	for logged.FilterMessage("request").Len() == 0 { // it is logged after the response
+		time.Sleep(time.Millisecond)
+	}
+	fields := logged.FilterMessage("request").All()[0].ContextMap()
+	for _, name := range []string{"sent_after", "sent_tables", "disallowed"} {
+		if v, ok := fields[name]; ok {
+			t.Errorf("%s is %v although nothing was sent", name, v)
+		}
+	}
+	if fields["attempts"] != int64(1) || fields["decided_tables"] != uint64(1) {
+		t.Errorf("%v attempts, decided under version %v", fields["attempts"], fields["decided_tables"])
+	}
+}
