Refuse a waiting further attempt, and one after a hedge, that the tables forbid

A further attempt that waited for a slot was made under tables that allow fewer attempts, or only one run; and a hedge that such tables had withdrawn could be followed by another attempt while the first one ran. The request was matched again, but its attempts were checked only before it began to wait, and the first attempt's outcome was not known yet.

Matching a request again now fails if the new row does not let it have another attempt, and a retry is refused after a hedge of a request that is no longer idempotent.

--- a/pkg/decision/steer/bind.go
+++ b/pkg/decision/steer/bind.go
@@ -22,8 +22,9 @@
 }
 
 // bind makes r refer to the row of its route in the tables of snap, unless these are no
-// newer than the row that it has. It reports false if these tables have no route for r, or
-// one without the pool for which another instance has forwarded r.
+// newer than the row that it has. It reports false if these tables have no route for r, one
+// without the pool for which another instance has forwarded r, or one that does not let r
+// have another attempt.
 func (c *Core) bind(snap *snapshot, r *Request) bool {
 	if r.TablesVersion >= snap.tables.Version {
 		return true
@@ -32,8 +33,11 @@
 	if row == nil || r.Pool != "" && !c.hasPool(row, r.Pool) {
 		return false
 	}
-	r.Route, r.TablesVersion = row, snap.tables.Version
-	r.Idempotent = r.Idempotent && r.mayRepeat(row)
+	idempotent := r.Idempotent && r.mayRepeat(row)
+	if !r.mayAttempt(row, idempotent) {
+		return false
+	}
+	r.Route, r.TablesVersion, r.Idempotent = row, snap.tables.Version, idempotent
 	if r.service != "" && !c.hasService(snap, row, r.service) {
 		r.service = snap.routes[row.Name].pickService(snap, r)
 	}
@@ -53,6 +57,14 @@
 	return refuse(fault.KindNoTarget), false
 }
 
+// mayAttempt reports whether row lets r, which is idempotent or not, have another attempt.
+func (r *Request) mayAttempt(row *table.Route, idempotent bool) bool {
+	if counted := r.Attempts - r.withdrawn; counted > 0 && counted >= attemptLimit(row) {
+		return false
+	}
+	return idempotent || !r.mayHaveRun && !r.hedged
+}
+
 // mayRepeat reports whether row lets r, an idempotent request so far, run more than once.
 func (r *Request) mayRepeat(row *table.Route) bool {
 	return r.Method == "" || row.IsIdempotent(r.Method)
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -124,7 +124,7 @@
 	if !retryable(res.Kind) || !c.mayFollow(now, r) {
 		return false
 	}
-	if r.mayHaveRun && !r.Idempotent {
+	if (r.mayHaveRun || r.hedged) && !r.Idempotent {
 		return false
 	}
 	return costNoWork(res.Kind) || c.retryBudget(r).TryWithdraw()
--- a/pkg/decision/steer/waitmoved_test.go
+++ b/pkg/decision/steer/waitmoved_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -116,3 +117,31 @@
 		}
 	}
 }
+
+// A further attempt that waits must not be made once the tables forbid it.
+func TestQueuedFurtherAttemptsAreRefusedOnceTheTablesForbidThem(t *testing.T) {
+	keep := func(t *table.Tables) { t.Routes[0].QueueTimeout = queueTimeout }
+	for name, change := range map[string]func(row *table.Route){
+		"fewer attempts": func(row *table.Route) { row.MaxAttempts = 1 },
+		"not idempotent": func(row *table.Route) { row.Idempotency = table.IdempotentNever },
+	} {
+		v1 := localTables(1, keep)
+		c := newCore(v1)
+		running, queued := queueAll(t, c, v1, "")
+		for _, w := range queued {
+			w.r.Attempts, w.r.mayHaveRun, w.r.Method = 1, true, http.MethodPost
+		}
+		c.SetTables(at(2*time.Second), localTables(2, func(t *table.Tables) { keep(t); change(&t.Routes[0]) }))
+		dispatched, refused := 0, 0
+		for _, w := range append(c.Tick(at(2*time.Second)), c.Done(at(2*time.Second), running, Result{Latency: time.Millisecond})...) {
+			if w.Decision.Verdict == Dispatch {
+				dispatched++
+			} else {
+				refused++
+			}
+		}
+		if dispatched != 0 || refused != objects {
+			t.Errorf("%s: of %d requests %d were dispatched and %d refused", name, objects, dispatched, refused)
+		}
+	}
+}
--- a/pkg/decision/steer/withdraw_test.go
+++ b/pkg/decision/steer/withdraw_test.go
@@ -176,3 +176,21 @@
 	}
 	t.Errorf("a further attempt is allowed after %d that were withdrawn", p.Attempts)
 }
+
+// A withdrawn hedge must not be followed by another attempt while the first one may run, if
+// the route has become one of requests that may run only once.
+func TestWithdrawnHedgeOfRequestThatIsNoLongerIdempotentIsTheLastAttempt(t *testing.T) {
+	v1 := boundFleet.version(1, func(*table.Route) {})
+	c := boundCore(v1)
+	all := secondPlaced(t, c, v1, hedges)
+	c.SetTables(at(3*time.Second), boundFleet.version(2, func(row *table.Route) { row.Idempotency = table.IdempotentNever }))
+	repeated := 0
+	for _, d := range withdrawAll(c, all) {
+		if d.Verdict == Dispatch {
+			repeated++
+		}
+	}
+	if repeated > 0 {
+		t.Errorf("%d of %d requests are sent again", repeated, objects)
+	}
+}
