--- a/pkg/decision/steer/decide.go
+++ b/pkg/decision/steer/decide.go
@@ -23,12 +23,19 @@
 	if !now.Before(r.Deadline) {
 		return refuse(fault.KindDeadlinePassed)
 	}
+	snap := c.snapshot.Load()
+	if !c.bind(snap, r) {
+		return refuse(fault.KindNoTarget)
+	}
 	counted, ok := c.poison.Start(now, r.Fingerprint)
 	if !ok {
 		return refuse(fault.KindPoisonHeld)
 	}
-	d := c.refuseIfOutlastsStop(now, r, c.decide(c.snapshot.Load(), now, r))
-	d.fingerprint = r.Fingerprint
+	d := c.decide(snap, now, r)
+	d.setRequest(r)
+	if c.stopAt.Load() != nil {
+		d = c.refuseIfOutlastsStop(now, d)
+	}
 	switch d.Verdict {
 	case Refuse, Wait:
 		if counted {
@@ -43,6 +50,15 @@
 	return d
 }
 
+// setRequest records in d what the later steps of the attempt need of r, which decisions
+// on further attempts may change at the same time.
+func (d *Decision) setRequest(r *Request) {
+	d.fingerprint = r.Fingerprint
+	d.row, d.TablesVersion = r.Route, r.TablesVersion
+	d.affinity = r.usesAffinity()
+	d.attempt, d.repeat = uint8(r.Attempts-r.withdrawn+1), r.mayHaveRun || r.hedged
+}
+
 // decide chooses a pool for r, and a target or zone of the pool.
 func (c *Core) decide(snap *snapshot, now time.Time, r *Request) Decision {
 	if r.Pool != "" {
--- a/pkg/decision/steer/finish.go
+++ b/pkg/decision/steer/finish.go
@@ -118,15 +118,23 @@
 		r.mayHaveRun = true
 		r.unknownKind = res.Kind
 	}
-	if !retryable(res.Kind) || r.Pool != "" || r.Attempts >= r.attemptLimit() || !now.Before(r.Deadline) {
+	if res.Kind == fault.KindTargetLeaving && r.withdrawn < maxWithdrawn {
+		r.withdrawn++
+	}
+	if !retryable(res.Kind) || !c.mayFollow(now, r) {
 		return false
 	}
-	if r.mayHaveRun && !r.Idempotent {
+	if (r.mayHaveRun || r.hedged) && !r.Idempotent {
 		return false
 	}
 	return costNoWork(res.Kind) || c.retryBudget(r).TryWithdraw()
 }
 
+// mayFollow reports whether the tables in force allow a further attempt of r at now.
+func (c *Core) mayFollow(now time.Time, r *Request) bool {
+	return r.Pool == "" && now.Before(r.Deadline) && c.bind(c.snapshot.Load(), r) && r.Attempts-r.withdrawn < attemptLimit(r.Route)
+}
+
 // costNoWork reports whether an attempt that ended with k cost no target any work,
 // since no byte of it was sent.
 func costNoWork(k fault.Kind) bool {
@@ -165,8 +173,9 @@
 // AllowHedge reports whether a hedge of r may start at now, and withdraws it
 // from the retry budget.
 func (c *Core) AllowHedge(now time.Time, r *Request) bool {
-	if !r.Idempotent || r.Pool != "" || r.Attempts >= r.attemptLimit() || !now.Before(r.Deadline) {
+	if !c.mayFollow(now, r) || !r.Idempotent || !c.retryBudget(r).TryWithdraw() {
 		return false
 	}
-	return c.retryBudget(r).TryWithdraw()
+	r.hedged = true
+	return true
 }
--- a/pkg/decision/steer/types.go
+++ b/pkg/decision/steer/types.go
@@ -20,16 +20,26 @@
 // Request holds what a decision depends on. The calling package owns it for the
 // request's whole life and passes the same one to each decision.
 type Request struct {
-	// Route is the matched row of the tables in force.
-	Route *table.Route
+	// Route is the matched row of the tables, and TablesVersion the version of the
+	// tables that it belongs to. Each decision under newer tables replaces both.
+	Route         *table.Route
+	TablesVersion uint64
+	// Host and Path are what the route was matched by; see table.Matcher.Match. Path is
+	// empty if another instance has chosen the route.
+	Host string
+	Path string
 	// Pool is set when another instance has chosen the pool and forwarded the
 	// request, which is then served in this zone or refused.
 	Pool string
 	// Member is the member on whose behalf the caller sends the request. It is
 	// used only for fairness.
 	Member string
-	// Idempotent reports whether the request may run more than once.
+	// Idempotent reports whether the request may run more than once. Newer tables may
+	// only clear it.
 	Idempotent bool
+	// Method is the method of the request if its route determines whether it is
+	// idempotent; empty if the caller has.
+	Method string
 	// Fingerprint identifies repeats of the same request for the poison check.
 	// Zero disables the check.
 	Fingerprint uint64
@@ -51,12 +61,21 @@
 	mayHaveRun bool
 	// unknownKind is the error kind of the first such attempt.
 	unknownKind fault.Kind
+	// withdrawn counts the attempts that were withdrawn before their first byte, up to
+	// maxWithdrawn. They do not count towards the limit.
+	withdrawn int
+	// hedged is set once a hedge was allowed, which may run beside an earlier attempt.
+	hedged bool
 	// service is the service that direct dispatch has chosen for the request.
 	service string
 }
 
-// maxAttempts bounds the dispatches and hops of one request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the dispatches and hops of one request.
+	maxAttempts = 4
+	// maxWithdrawn bounds the attempts of one request that were withdrawn and do not count.
+	maxWithdrawn = 4
+)
 
 // Exclude prevents name, a target or a zone, from being chosen again for r.
 func (r *Request) Exclude(name string) {
@@ -76,9 +95,9 @@
 	return false
 }
 
-// attemptLimit returns the largest number of attempts of r.
-func (r *Request) attemptLimit() int {
-	if n := r.Route.MaxAttempts; n > 0 {
+// attemptLimit returns the largest number of attempts of a request of the route.
+func attemptLimit(row *table.Route) int {
+	if n := row.MaxAttempts; n > 0 {
 		return min(n, maxAttempts)
 	}
 	return maxAttempts
@@ -118,6 +137,8 @@
 	Zone string
 	// Ticket is set with Wait.
 	Ticket uint64
+	// TablesVersion is the version of the tables that the decision is based on.
+	TablesVersion uint64
 
 	// The fields below are what Done frees and what it records.
 	targetStats *targetStats
@@ -131,14 +152,22 @@
 	// its request.
 	dispatchedAt int64
 	deadline     int64
-	// poisonCounted is set when the poison tracker counts the attempt as
-	// running.
-	poisonCounted bool
+	// row is the row of the request's route that the decision is based on.
+	row *table.Route
 	// route and warm are set by direct dispatch. warm is set when this instance
 	// has sent the request's object to the target before, or there is no
 	// object.
 	route *route
 	warm  bool
+	// poisonCounted is set when the poison tracker counts the attempt as
+	// running.
+	poisonCounted bool
+	// affinity is set if it matters which target the request is sent to.
+	affinity bool
+	// repeat is set if an earlier attempt may have run, or may still run.
+	repeat bool
+	// attempt is the number of the attempt, from 1.
+	attempt uint8
 	// expectedWait is how long the request was expected to wait at the target.
 	expectedWait time.Duration
 	// networkCost is the estimated cost of the network path to the target.
@@ -148,6 +177,14 @@
 	Diagnostics Diagnostics
 }
 
+// Region returns the region of the chosen target, or "" without one.
+func (d *Decision) Region() string {
+	if d.region == nil {
+		return ""
+	}
+	return d.region.name
+}
+
 // Diagnostics is what a decision of direct dispatch was based on.
 type Diagnostics struct {
 	// Target is the target of least cost, also when the request was refused.
@@ -168,7 +205,9 @@
 	RateLimited bool
 }
 
-// Wakeup is the final decision on a queued request.
+// Wakeup is the final decision on a queued request. A refusal of the kind
+// fault.KindTargetLeaving means that the tables no longer allow the request where it waited;
+// another call of Decide then chooses again.
 type Wakeup struct {
 	Ticket   uint64
 	Decision Decision
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -34,9 +34,18 @@
 	ctx     context.Context
 	start   time.Time
 	result  steer.Result
+	// route is the name of the request's route, and idempotent whether the request may run
+	// more than once, when the attempt was decided on. The decision on another attempt may
+	// change the request at the same time.
+	route      string
+	idempotent bool
 	// sentAfter is the time from the arrival of the request until its first byte was
 	// about to be sent to the target, in nanoseconds; zero before.
 	sentAfter atomic.Int64
+	// sentTables is the version of the tables in force then, and sentDisallowed is set if
+	// they did not allow the attempt.
+	sentTables     atomic.Uint64
+	sentDisallowed atomic.Bool
 
 	// response, head and prefix are set when the attempt received a response;
 	// err is set otherwise.
@@ -55,7 +64,10 @@
 	} else {
 		x.req.Exclude(d.Target)
 	}
-	return &attempt{x: x, decision: d, httpReq: x.httpReq, ctx: ctx, start: x.node.now()}
+	return &attempt{
+		x: x, decision: d, httpReq: x.httpReq, ctx: ctx, start: x.node.now(),
+		route: x.req.Route.Name, idempotent: x.req.Idempotent,
+	}
 }
 
 // send makes the attempt up to the header of the response and the part of the body
@@ -93,15 +105,15 @@
 
 // dispatch sends the request to the target.
 func (a *attempt) dispatch() error {
-	c, ok := a.x.snapshot.targets[a.decision.Target]
-	if !ok {
-		return fault.New(fault.KindTargetRefused, "target %s is not among the current targets of this instance", a.decision.Target)
+	c, ok := a.x.node.snapshot.Load().targets[a.decision.Target]
+	if !ok || c.Pool().Address() != a.decision.Address {
+		return fault.New(fault.KindTargetLeaving, "target %s is not among the current targets of this instance at %s", a.decision.Target, a.decision.Address)
 	}
 	req := &a.x.req
 	if _, limited := a.decision.RateLimit(); limited && a.x.node.metrics != nil {
 		a.x.node.metrics.CountRateLimitedRequest()
 	}
-	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !req.Idempotent, Withdrawn: a.withdrawn}
+	options := upstream.SendOptions{NotAfter: a.decision.NotAfter, NonIdempotent: !a.idempotent, Withdrawn: a.withdrawn}
 	resp, err := c.Send(a.ctx, a.httpReq, a.x.body, req.Deadline, options)
 	if resp != nil {
 		a.x.handleNotice(a.decision, resp.Notice)
@@ -124,8 +136,38 @@
 // called right before the first byte is sent.
 func (a *attempt) withdrawn() bool {
 	now := a.x.node.now()
+	if a.x.node.core.MustNotSend(now, &a.x.req, &a.decision) {
+		return true
+	}
+	a.recordSent(now)
+	return false
+}
+
+// recordSent records that the attempt is sent at now, and what the tables in force say about
+// it.
+func (a *attempt) recordSent(now time.Time) {
 	a.sentAfter.Store(now.Sub(a.x.req.Arrived).Nanoseconds())
-	return a.x.node.core.MustNotSend(now, &a.x.req, &a.decision)
+	version, allowed := a.x.node.core.TablesNow(&a.x.req, &a.decision)
+	a.sentTables.Store(version)
+	if allowed {
+		return
+	}
+	a.sentDisallowed.Store(true)
+	if m := a.x.node.metrics; m != nil {
+		m.CountDisallowedAttempt()
+	}
+}
+
+// sentState is what the tables in force said when an attempt was sent.
+type sentState struct {
+	// version is that of the tables, zero if the attempt was not sent to a target.
+	version uint64
+	// disallowed is set if these tables did not allow the attempt.
+	disallowed bool
+}
+
+func (a *attempt) sentState() sentState {
+	return sentState{version: a.sentTables.Load(), disallowed: a.sentDisallowed.Load()}
 }
 
 // hop forwards the request to an instance of the decided zone.
@@ -136,8 +178,8 @@
 	}
 	req := &a.x.req
 	resp, err := c.Forward(a.ctx, a.httpReq, a.x.body, hop.Decision{
-		Route: req.Route.Name, Pool: a.decision.Pool, TablesVersion: a.x.snapshot.tables.Version,
-		Idempotent: req.Idempotent, Deadline: req.Deadline,
+		Route: a.route, Pool: a.decision.Pool, TablesVersion: a.decision.TablesVersion,
+		Idempotent: a.idempotent, Deadline: req.Deadline, Withdrawn: a.withdrawn,
 	})
 	if err != nil {
 		return err
@@ -154,7 +196,7 @@
 
 // pickPeer returns the client of a random instance of zone, or nil without one.
 func (x *exchange) pickPeer(zone string) *hop.Client {
-	peers := x.snapshot.zonePeers[zone]
+	peers := x.node.snapshot.Load().zonePeers[zone]
 	if len(peers) == 0 {
 		return nil
 	}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -20,7 +20,10 @@
 type exchange struct {
 	node     *Node
 	snapshot *snapshot
-	w        http.ResponseWriter
+	// arrivalTables is the version of the tables in which the route was matched first.
+	arrivalTables uint64
+
+	w http.ResponseWriter
 	// httpReq is the request as received.
 	httpReq *http.Request
 	ctx     context.Context
@@ -48,6 +51,8 @@
 	// sentAfter is the time from the arrival of the request until the last attempt was
 	// sent to its target; zero if it was not.
 	sentAfter time.Duration
+	// sent is what the tables in force said when the last attempt was sent.
+	sent sentState
 	// targetLoad is the load that the target reported with the last attempt, or
 	// nil.
 	targetLoad *steer.TargetLoad
@@ -144,8 +149,10 @@
 		return func() {}
 	}
 	ended := make(chan struct{})
+	// Decisions on the request change it while the body arrives.
+	row, objectKey := x.req.Route, x.req.ObjectKey
 	unwatch := context.AfterFunc(x.node.stopping, func() {
-		latest, _ := x.node.core.LatestStart(&x.req)
+		latest, _ := x.node.core.LatestStart(row, objectKey)
 		select {
 		case <-ended:
 		case <-time.After(latest.Sub(x.node.now())):
@@ -177,10 +184,21 @@
 // decide returns the final decision on the request. It blocks while the request
 // is queued.
 func (x *exchange) decide() steer.Decision {
-	d := x.node.core.Decide(x.node.now(), &x.req)
-	if d.Verdict != steer.Wait {
-		return d
+	for {
+		d := x.node.core.Decide(x.node.now(), &x.req)
+		if d.Verdict != steer.Wait {
+			return d
+		}
+		// The request may have to wait elsewhere after the tables have changed.
+		if final := x.awaitDecision(d); final.Kind != fault.KindTargetLeaving {
+			return final
+		}
 	}
+}
+
+// awaitDecision returns the final decision on the request, which is queued under the
+// ticket of d.
+func (x *exchange) awaitDecision(d steer.Decision) steer.Decision {
 	x.node.signalQueued()
 	decided := x.node.waiters.channel(d.Ticket)
 	defer x.node.waiters.remove(d.Ticket)
@@ -225,6 +243,7 @@
 	defer cleanup()
 	defer a.done()
 	x.lastDecision, x.targetLoad, x.sentAfter = a.decision, a.result.Load, time.Duration(a.sentAfter.Load())
+	x.sent = a.sentState()
 	if a.err == nil && a.result.Failed && x.mayRetry(errTargetFailed) {
 		a.result.Kind = fault.KindTargetFailed
 		return errTargetFailed
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -2,12 +2,18 @@
 // types, YAML format, validation, and the differences between versions. It does no I/O.
 package table
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Tables is one version of both tables. It must not be modified after it is built.
 type Tables struct {
 	// Version increases by one with every accepted edit. Version zero is empty.
 	Version uint64 `yaml:"version" json:"version"`
+	// ConfigVersion is the version of the operators' configuration from which discovery has
+	// assembled the tables. It is zero for tables that operators edit.
+	ConfigVersion uint64 `yaml:"-" json:"-"`
 	// AcceptedAt is the platform's time of acceptance. Shifts to new weights are
 	// computed from it. Edits leave it out; it is set when the version is loaded.
 	AcceptedAt time.Time `yaml:"accepted_at,omitempty" json:"accepted_at"`
@@ -223,6 +229,22 @@
 	return nil
 }
 
+// IsIdempotent reports whether requests with the given method are idempotent by the
+// setting of the route.
+func (r *Route) IsIdempotent(method string) bool {
+	switch r.Idempotency {
+	case IdempotentAlways:
+		return true
+	case IdempotentNever:
+		return false
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // Route returns the route with the given name, or nil.
 func (t *Tables) Route(name string) *Route {
 	for i := range t.Routes {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -158,5 +158,9 @@
 	m.scope.Tagged(map[string]string{"use": use}).Counter("memory_refusals").Inc(n)
 }
 
+// CountDisallowedAttempt counts an attempt whose first byte was sent to a target although
+// the tables in force did not allow the request its pool or region.
+func (m *Metrics) CountDisallowedAttempt() { m.scope.Counter("disallowed_attempts").Inc(1) }
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
