Count look-up answers by the regions that they name, and log those without the caller's

Look-ups left no trace: neither log nor metrics told which instances a caller was given, so callers that were sent to a region that their routes forbid could not be told from callers that chose it themselves.

The counter lookups has the scope of each answer: own-region, allowed-regions (others that every route of the name allows), other-regions, none. An answer without the caller's region is logged, at most once a second, with the number left out: whom it names, how many instances of the region are listed, leaving, unreachable, whether this instance leaves, and the age of the list. The choice of instances is as before.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -68,8 +68,8 @@
 	lastHeartbeat       *instance.HeartbeatRequest
 	promisesRequestedAt time.Time // of the last request for promises
 	leaving             bool
-	registered          bool // set once the platform has listed this instance
-	listRead            bool // set once the platform's list of instances has been read
+	registered          bool      // set once the platform has listed this instance
+	listReadAt          time.Time // of the last read of the platform's list of instances
 	// storeGeneration is the generation of the platform's store as far as known here.
 	storeGeneration uint64
 	startedAt       time.Time
@@ -204,6 +204,14 @@
 	return m.list, m.complete
 }
 
+// ListReadAt returns when the platform's list of instances was last read, and false if
+// it never was.
+func (c *Cluster) ListReadAt() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listReadAt, !c.listReadAt.IsZero()
+}
+
 // Summaries returns the latest headroom summaries: of this cell, as far as they
 // are known here, and of the other cells.
 func (c *Cluster) Summaries() []steer.ZoneSummary { return *c.summaries.Load() }
@@ -277,7 +285,7 @@
 	c.mu.Lock()
 	now := time.Now()
 	list := []platform.Instance{toInstance(c.view.Self())}
-	members := &memberList{list: slices.Clone(list), complete: c.listRead}
+	members := &memberList{list: slices.Clone(list), complete: !c.listReadAt.IsZero()}
 	for _, m := range c.view.Members(now) {
 		members.list = append(members.list, toInstance(m.Info))
 		if m.State != member.Suspect {
--- a/pkg/cluster/platformlist.go
+++ b/pkg/cluster/platformlist.go
@@ -75,7 +75,7 @@
 	c.mu.Lock()
 	c.observeStoreGeneration(time.Now())
 	c.view.ObserveList(time.Now(), infos)
-	c.listRead = true
+	c.listReadAt = time.Now()
 	c.mu.Unlock()
 	c.refreshViews()
 	c.removeStaleEntries(ctx)
--- a/pkg/cluster/restore.go
+++ b/pkg/cluster/restore.go
@@ -40,7 +40,7 @@
 	}
 	old := c.storeGeneration
 	c.storeGeneration = generation
-	if !c.listRead && c.tables.Load() == nil {
+	if c.listReadAt.IsZero() && c.tables.Load() == nil {
 		// The first generation that this instance sees.
 		return
 	}
--- a/pkg/decision/lookup/lookup.go
+++ b/pkg/decision/lookup/lookup.go
@@ -33,6 +33,17 @@
 // Usable reports whether callers may be sent to the instance.
 func (in *Instance) Usable() bool { return !in.Leaving && !in.Unreachable }
 
+// Usable returns those of instances to which callers may be sent.
+func Usable(instances []Instance) []Instance {
+	var out []Instance
+	for _, in := range instances {
+		if in.Usable() {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
 // Location is the assumed location of a caller.
 type Location struct {
 	// Zone is empty when only the region is known. Then all zones of the region
--- a/pkg/node/cluster.go
+++ b/pkg/node/cluster.go
@@ -59,6 +59,12 @@
 	TakeUnappliedSince() (at time.Time, ok bool)
 }
 
+// ListTimer is a Cluster that knows when it last read the platform's list of instances.
+type ListTimer interface {
+	// ListReadAt returns when the list was last read, and false if it never was.
+	ListReadAt() (at time.Time, ok bool)
+}
+
 // Attacher is a Cluster that sets the shares of the decision core itself. A share
 // must be out of use before it is offered as a loan. Polling Shares can't ensure
 // that, since the core would get the change only later.
--- a/pkg/node/direct.go
+++ b/pkg/node/direct.go
@@ -84,15 +84,23 @@
 // the instances of other zones.
 const instancesPerSpare = 4
 
-// InstancesNear returns the instances that a caller at location may use:
+// InstancesNear returns the instances that a caller at location may use for host:
 // those of its zone and a few of the other zones of its region. If the region has
 // no usable instance, for example because its cell is unreachable, it returns all
 // usable instances.
-func (n *Node) InstancesNear(location lookup.Location) []lookup.Instance {
+func (n *Node) InstancesNear(host string, location lookup.Location) []lookup.Instance {
+	snap := n.snapshot.Load()
+	named := n.selectNear(snap, location)
+	n.recordLookup(host, location, snap.hostRegions.Of(host), named)
+	return named
+}
+
+// selectNear returns the instances that a caller at location may use.
+func (n *Node) selectNear(snap *snapshot, location lookup.Location) []lookup.Instance {
 	var zone, region, all []lookup.Instance
-	for _, in := range n.snapshot.Load().lookupCandidates {
+	for _, in := range n.candidates(snap) {
 		switch {
-		case !in.Usable() || in.ID == n.self.ID && n.leaving():
+		case !in.Usable():
 			continue
 		case in.Zone == location.Zone:
 			zone = append(zone, in)
--- a/pkg/node/instancesnear_test.go
+++ b/pkg/node/instancesnear_test.go
@@ -4,16 +4,20 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // idsNear returns the sorted ids of the instances that a caller at a location may
 // use.
 func idsNear(n *Node, location lookup.Location) []string {
 	var ids []string
-	for _, in := range n.InstancesNear(location) {
+	for _, in := range n.InstancesNear("host.example", location) {
 		ids = append(ids, in.ID)
 	}
 	slices.Sort(ids)
@@ -34,10 +38,7 @@
 		{[]string{"rb"}, []string{"a1", "c1"}},
 		{[]string{"rb", "rc"}, []string{"a1"}},
 	} {
-		n := &Node{}
-		snap := emptySnapshot()
-		snap.lookupCandidates = lookupCandidates(list, c.unreachable)
-		n.snapshot.Store(snap)
+		n := nodeWithCandidates(lookupCandidates(list, c.unreachable))
 		if got := idsNear(n, lookup.Location{Zone: "b", Region: "rb"}); !slices.Equal(got, c.want) {
 			t.Errorf("unreachable %v: a caller in rb may use %v, want %v", c.unreachable, got, c.want)
 		}
@@ -53,9 +54,14 @@
 			list = append(list, platform.Instance{ID: fmt.Sprintf("%s%d", zone, i), Zone: zone, Region: "r", Cell: "r"})
 		}
 	}
-	n := &Node{}
+	return nodeWithCandidates(lookupCandidates(list, nil))
+}
+
+// nodeWithCandidates returns a node whose snapshot holds the given candidates.
+func nodeWithCandidates(candidates []lookup.Instance) *Node {
+	n := &Node{log: zap.NewNop(), now: time.Now, remoteLookups: telemetry.NewIntervalLimiter(remoteLookupLogInterval)}
 	snap := emptySnapshot()
-	snap.lookupCandidates = lookupCandidates(list, nil)
+	snap.lookupCandidates = candidates
 	n.snapshot.Store(snap)
 	return n
 }
@@ -72,7 +78,7 @@
 		{map[string]int{"a": 4}, 4, 0},
 	} {
 		own, another := 0, 0
-		for _, in := range nodeWithZones(c.zones).InstancesNear(lookup.Location{Zone: "a", Region: "r"}) {
+		for _, in := range nodeWithZones(c.zones).InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"}) {
 			if in.Zone == "a" {
 				own++
 			} else {
@@ -91,7 +97,7 @@
 func TestInstancesOfOtherZonesVary(t *testing.T) {
 	n, named := nodeWithZones(map[string]int{"a": 4, "b": 8}), map[string]bool{}
 	for range 200 {
-		for _, in := range n.InstancesNear(lookup.Location{Zone: "a", Region: "r"}) {
+		for _, in := range n.InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"}) {
 			named[in.ID] = true
 		}
 	}
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/julienschmidt/httprouter"
@@ -38,22 +39,45 @@
 		return
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, location, n.withIDPrefixes(snap.lookupCandidates), rnd))
+	candidates := n.candidates(snap)
+	n.recordLookup(route.Name, location, n.allowedRegions(route), lookup.Usable(candidates))
+	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, location, n.withIDPrefixes(candidates), rnd))
+}
+
+// candidates returns the candidates of snap in which this instance is marked if it is
+// leaving. The result must not be modified.
+func (n *Node) candidates(snap *snapshot) []lookup.Instance {
+	if !n.leaving() {
+		return snap.lookupCandidates
+	}
+	out := slices.Clone(snap.lookupCandidates)
+	for i := range out {
+		out[i].Leaving = out[i].Leaving || out[i].ID == n.self.ID
+	}
+	return out
 }
 
 // withIDPrefixes returns a copy of instances in which each instance has an id prefix
-// issued now, and this instance is marked if it is leaving.
+// issued now.
 func (n *Node) withIDPrefixes(instances []lookup.Instance) []lookup.Instance {
 	now := n.submissions.monotonic(n.now())
 	out := make([]lookup.Instance, len(instances))
 	for i, in := range instances {
 		in.IDPrefix = outcome.Prefix(in.ID, in.Incarnation, now)
-		in.Leaving = in.Leaving || (in.ID == n.self.ID && n.leaving())
 		out[i] = in
 	}
 	return out
 }
 
+// allowedRegions returns the regions that may serve route. Only direct dispatch
+// restricts them.
+func (n *Node) allowedRegions(route *table.Route) lookup.AllowedRegions {
+	if !n.direct() {
+		return lookup.AllowedRegions{}
+	}
+	return lookup.AllowedBy(route)
+}
+
 // lookupRoute returns the route that a lookup names or whose host and path it
 // gives, or nil if there is none.
 func lookupRoute(snap *snapshot, r *http.Request) *table.Route {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,6 +79,8 @@
 	// queueSignal receives a value when a request is queued.
 	queueSignal chan struct{}
 	drains      *drainTracker
+	// remoteLookups limits the log lines on lookup responses.
+	remoteLookups *telemetry.IntervalLimiter
 	// snapshot is replaced whenever the state of the cluster changes.
 	snapshot atomic.Pointer[snapshot]
 	// stage is stageServing, stageLeaving or stageRefusing.
@@ -121,6 +123,7 @@
 		dialect:     c.Dialect,
 		endpoints:   c.Endpoints,
 	}
+	n.remoteLookups = telemetry.NewIntervalLimiter(remoteLookupLogInterval)
 	if n.dialect == (wire.Dialect{}) {
 		n.dialect = wire.NativeDialect()
 	}
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -17,6 +17,7 @@
 	// tablesSince is when this instance began to use the tables.
 	tablesSince time.Time
 	matcher     *table.Matcher
+	hostRegions lookup.HostRegions
 	// targets holds the clients of this zone's targets, with direct dispatch those
 	// of all targets, by target name.
 	targets map[string]*target.Client
@@ -57,6 +58,7 @@
 	if t := n.cluster.Tables(); t != nil && t.Version > old.tables.Version {
 		next.tables, next.tablesSince = t, n.now()
 		next.matcher = table.NewMatcher(t)
+		next.hostRegions = lookup.NewHostRegions(t)
 	}
 	next.targets = n.targetClients(old, next.tables)
 	if !equalInstances(list, old.instances) {
--- a/pkg/table/match.go
+++ b/pkg/table/match.go
@@ -58,7 +58,7 @@
 	if path == "" {
 		path = "/"
 	}
-	if r := m.byHost[hostName(host)].longest(path); r != nil {
+	if r := m.byHost[HostName(host)].longest(path); r != nil {
 		return r
 	}
 	return m.byHost[anyHost].longest(path)
@@ -86,8 +86,8 @@
 	return nil
 }
 
-// hostName returns host in lower case without its port.
-func hostName(host string) string {
+// HostName returns host in lower case without its port.
+func HostName(host string) string {
 	end := strings.LastIndexByte(host, ':')
 	if end >= 0 && strings.IndexByte(host[end:], ']') < 0 {
 		host = host[:end]
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -149,5 +149,10 @@
 // CountRateLimitedRequest counts an attempt at a target that has announced a rate limit.
 func (m *Metrics) CountRateLimitedRequest() { m.scope.Counter("rate_limited_requests").Inc(1) }
 
+// CountLookup counts a lookup response by the scope of the instances that it names.
+func (m *Metrics) CountLookup(scope string) {
+	m.scope.Tagged(map[string]string{"scope": scope}).Counter("lookups").Inc(1)
+}
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
