A restarting region sends callers only where every route of the name may run

What callers saw: while all instances of a region stop at nearly the same time, those that are stopping answer look-ups with the instances of all other regions, whatever the routes of the name allow. Instances that have not read the platform's list, or have lost sight of their region, did the same.

Cause: the directory did not know the allowed regions of a name, and took "none usable that I know" for "the region is lost". The native look-up names other regions always, also ones that the route forbids.

lookup.Select decides now. A name without restricted routes gets what it got. Otherwise, when the caller's region has no usable instance: those of regions that every restricted route allows. Without any, none while the region may come back - an instance there is leaving, or the list has not been read: a refused look-up sends the caller to the next instance, and it keeps the addresses that it has, at which the successors come up. Only when the region is lost: regions that one of the routes allows, or else all, since then a request served elsewhere is better than none. An instance without tables, which can't serve and knows no routes, refuses look-ups, as the native look-up does already.

The fixtures of the look-up tests have tables and a read list now, as every serving instance has.

--- a/pkg/decision/lookup/lookup.go
+++ b/pkg/decision/lookup/lookup.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,17 +34,6 @@
 // Usable reports whether callers may be sent to the instance.
 func (in *Instance) Usable() bool { return !in.Leaving && !in.Unreachable }
 
-// Usable returns those of instances to which callers may be sent.
-func Usable(instances []Instance) []Instance {
-	var out []Instance
-	for _, in := range instances {
-		if in.Usable() {
-			out = append(out, in)
-		}
-	}
-	return out
-}
-
 // Location is the assumed location of a caller.
 type Location struct {
 	// Zone is empty when only the region is known. Then all zones of the region
@@ -73,17 +63,11 @@
 // expire at the same time.
 const minTTLFraction = 0.7
 
-// BuildResponse returns the lookup response for route, based on the given version of the
-// tables. rnd shuffles instances of the same order and jitters the time to live.
-func BuildResponse(version uint64, route *table.Route, caller Location, all []Instance, rnd *rand.Rand) wire.LookupAnswer {
-	byOrder := [OrderOtherRegion + 1][]Instance{}
-	for _, in := range all {
-		if !in.Usable() {
-			continue
-		}
-		order := orderOf(caller, in)
-		byOrder[order] = append(byOrder[order], in)
-	}
+// BuildResponse returns the lookup response for route that names c, based on the given
+// version of the tables. rnd shuffles instances of the same order and jitters the time to
+// live.
+func BuildResponse(version uint64, route *table.Route, c Candidates, rnd *rand.Rand) wire.LookupAnswer {
+	byOrder := [...][]Instance{OrderSameZone: c.Zone, OrderSameRegion: c.Region, OrderOtherRegion: c.Others}
 	response := wire.LookupAnswer{
 		Version:   version,
 		Route:     route.Name,
@@ -91,6 +75,7 @@
 		Instances: []wire.LookupInstance{},
 	}
 	for order, ins := range byOrder {
+		ins = slices.Clone(ins)
 		sort.Slice(ins, func(i, j int) bool { return ins[i].ID < ins[j].ID })
 		rnd.Shuffle(len(ins), func(i, j int) { ins[i], ins[j] = ins[j], ins[i] })
 		for _, in := range ins[:min(len(ins), MaxPerOrder)] {
--- a/pkg/decision/lookup/lookup_test.go
+++ b/pkg/decision/lookup/lookup_test.go
@@ -43,7 +43,7 @@
 		}
 		caller := Location{Zone: "r0-0", Region: "r0"}
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		response := BuildResponse(3, &table.Route{Name: "feedlog"}, caller, ins, rnd)
+		response := BuildResponse(3, &table.Route{Name: "feedlog"}, Select(Query{Caller: caller, Instances: ins, Complete: true}), rnd)
 		if usable > 0 && len(response.Instances) == 0 {
 			t.Fatalf("empty response with %d usable instances", usable)
 		}
@@ -87,9 +87,10 @@
 	}
 	rnd := rand.New(rand.NewPCG(1, 2))
 	first := make(map[string]int)
+	candidates := Select(Query{Caller: Location{"z", "r"}, Instances: ins, Complete: true})
 	const responses = 8000
 	for range responses {
-		first[BuildResponse(1, &table.Route{}, Location{"z", "r"}, ins, rnd).Instances[0].ID]++
+		first[BuildResponse(1, &table.Route{}, candidates, rnd).Instances[0].ID]++
 	}
 	for id, n := range first {
 		if n < responses/8*8/10 || n > responses/8*12/10 {
--- a/pkg/node/direct.go
+++ b/pkg/node/direct.go
@@ -86,36 +86,30 @@
 
 // InstancesNear returns the instances that a caller at location may use for host:
 // those of its zone and a few of the other zones of its region. If the region has
-// no usable instance, for example because its cell is unreachable, it returns all
-// usable instances.
+// no usable instance, for example because its cell is unreachable, it returns those of
+// other regions that lookup.Select allows. It returns none before the first tables, which
+// name the regions that host allows.
 func (n *Node) InstancesNear(host string, location lookup.Location) []lookup.Instance {
 	snap := n.snapshot.Load()
-	named := n.selectNear(snap, location)
-	n.recordLookup(host, location, snap.hostRegions.Of(host), named)
+	q := n.query(snap, location, snap.hostRegions.Of(host))
+	var named []lookup.Instance
+	if snap.tables.Version > 0 {
+		named = n.nearest(lookup.Select(q))
+	}
+	n.recordLookup(host, q, named)
 	return named
 }
 
-// selectNear returns the instances that a caller at location may use.
-func (n *Node) selectNear(snap *snapshot, location lookup.Location) []lookup.Instance {
-	var zone, region, all []lookup.Instance
-	for _, in := range n.candidates(snap) {
-		switch {
-		case !in.Usable():
-			continue
-		case in.Zone == location.Zone:
-			zone = append(zone, in)
-		case in.Region == location.Region:
-			region = append(region, in)
-		}
-		all = append(all, in)
-	}
+// nearest returns the nearest candidates: those of the caller's region, if there are
+// any.
+func (n *Node) nearest(c lookup.Candidates) []lookup.Instance {
 	switch {
-	case len(zone) >= minZoneInstances:
-		return append(zone, n.sample(region, max(1, len(zone)/instancesPerSpare))...)
-	case len(zone)+len(region) > 0:
-		return append(zone, region...)
+	case len(c.Zone) >= minZoneInstances:
+		return append(c.Zone, n.sample(c.Region, max(1, len(c.Zone)/instancesPerSpare))...)
+	case len(c.Zone)+len(c.Region) > 0:
+		return append(c.Zone, c.Region...)
 	}
-	return all
+	return c.Others
 }
 
 // minZoneInstances is the number of usable instances that a zone needs to serve its
--- a/pkg/node/instancesnear_test.go
+++ b/pkg/node/instancesnear_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
 	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
@@ -62,6 +63,8 @@
 	n := &Node{log: zap.NewNop(), now: time.Now, remoteLookups: telemetry.NewIntervalLimiter(remoteLookupLogInterval)}
 	snap := emptySnapshot()
 	snap.lookupCandidates = candidates
+	snap.tables = &table.Tables{Version: 1}
+	snap.listComplete = true
 	n.snapshot.Store(snap)
 	return n
 }
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -39,9 +39,16 @@
 		return
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	candidates := n.candidates(snap)
-	n.recordLookup(route.Name, location, n.allowedRegions(route), lookup.Usable(candidates))
-	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, location, n.withIDPrefixes(candidates), rnd))
+	q := n.query(snap, location, n.allowedRegions(route))
+	q.Instances = n.withIDPrefixes(q.Instances)
+	c := lookup.Select(q)
+	n.recordLookup(route.Name, q, slices.Concat(c.Zone, c.Region, c.Others))
+	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, c, rnd))
+}
+
+// query returns the query of a lookup under snap.
+func (n *Node) query(snap *snapshot, location lookup.Location, allowed lookup.AllowedRegions) lookup.Query {
+	return lookup.Query{Caller: location, Allowed: allowed, Instances: n.candidates(snap), Complete: snap.listComplete}
 }
 
 // candidates returns the candidates of snap in which this instance is marked if it is
--- a/pkg/node/lookuplog.go
+++ b/pkg/node/lookuplog.go
@@ -14,8 +14,8 @@
 
 // recordLookup counts a lookup response by the instances that it names for name, a host
 // or a route. If none is of the caller's region, it also logs why.
-func (n *Node) recordLookup(name string, caller lookup.Location, allowed lookup.AllowedRegions, named []lookup.Instance) {
-	scope := lookup.ScopeOf(caller, allowed, named)
+func (n *Node) recordLookup(name string, q lookup.Query, named []lookup.Instance) {
+	scope := lookup.ScopeOf(q.Caller, q.Allowed, named)
 	if n.metrics != nil {
 		n.metrics.CountLookup(string(scope))
 	}
@@ -27,11 +27,10 @@
 	if !ok {
 		return
 	}
-	snap := n.snapshot.Load()
-	count := lookup.CountRegion(caller.Region, n.candidates(snap))
+	count := lookup.CountRegion(q.Caller.Region, q.Instances)
 	fields := []zap.Field{
-		zap.String("name", name), zap.String("region", caller.Region), zap.String("scope", string(scope)),
-		zap.Strings("named", lookup.Regions(named)), zap.Uint64("tables", snap.tables.Version),
+		zap.String("name", name), zap.String("region", q.Caller.Region), zap.String("scope", string(scope)),
+		zap.Strings("named", lookup.Regions(named)), zap.Uint64("tables", n.snapshot.Load().tables.Version),
 		zap.Int("listed", count.Listed), zap.Int("leaving", count.Leaving), zap.Int("unreachable", count.Unreachable),
 		zap.Bool("self_leaving", n.leaving()), zap.Int("omitted", omitted),
 	}
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -27,6 +27,8 @@
 	// peers holds the clients of all other listed instances, by incarnation. It is
 	// used to forward repeats to their home.
 	peers map[peerKey]*hop.Client
+	// listComplete is set once the platform's list of instances has been read.
+	listComplete bool
 	// lookupCandidates are the instances that lookup responses may name.
 	lookupCandidates []lookup.Instance
 	// sites holds the locations of the sites that callers' blocks may name.
@@ -55,6 +57,7 @@
 	old := n.snapshot.Load()
 	next := *old
 	list := n.cluster.Instances()
+	_, next.listComplete = n.cluster.Members()
 	if t := n.cluster.Tables(); t != nil && t.Version > old.tables.Version {
 		next.tables, next.tablesSince = t, n.now()
 		next.matcher = table.NewMatcher(t)
