An answer without the caller's region is used for half a second at most

Callers that a look-up sends to another region kept to it for 2 s, some of them for three times as long, although a restarting region has usable instances again within a second or so. Answers without an instance of the caller's region live for 500 ms now; others as before.

TestResponseOfAnotherRegionExpiresSoon and TestResponsesWithoutOwnRegionExpireSoon are new; before, no answer stated another time than lookup.max_ttl.

--- a/pkg/decision/lookup/lookup.go
+++ b/pkg/decision/lookup/lookup.go
@@ -63,15 +63,27 @@
 // expire at the same time.
 const minTTLFraction = 0.7
 
-// BuildResponse returns the lookup response for route that names c, based on the given
-// version of the tables. rnd shuffles instances of the same order and jitters the time to
-// live.
-func BuildResponse(version uint64, route *table.Route, c Candidates, rnd *rand.Rand) wire.LookupAnswer {
+// FallbackTTL is the longest time to live of a response without instances of the
+// caller's region, which usually has some again within seconds.
+const FallbackTTL = 500 * time.Millisecond
+
+// LimitTTL returns the time to live of a response of the given scope: at most ttl.
+func LimitTTL(ttl time.Duration, scope Scope) time.Duration {
+	if scope == ScopeOwnRegion {
+		return ttl
+	}
+	return min(ttl, FallbackTTL)
+}
+
+// BuildResponse returns the lookup response for route that names c, of the given scope,
+// based on the given version of the tables. rnd shuffles instances of the same order and
+// jitters the time to live.
+func BuildResponse(version uint64, route *table.Route, c Candidates, scope Scope, rnd *rand.Rand) wire.LookupAnswer {
 	byOrder := [...][]Instance{OrderSameZone: c.Zone, OrderSameRegion: c.Region, OrderOtherRegion: c.Others}
 	response := wire.LookupAnswer{
 		Version:   version,
 		Route:     route.Name,
-		TTLMS:     TTL(route, rnd.Float64()).Milliseconds(),
+		TTLMS:     LimitTTL(TTL(route, rnd.Float64()), scope).Milliseconds(),
 		Instances: []wire.LookupInstance{},
 	}
 	for order, ins := range byOrder {
--- a/pkg/decision/lookup/lookup_test.go
+++ b/pkg/decision/lookup/lookup_test.go
@@ -43,7 +43,7 @@
 		}
 		caller := Location{Zone: "r0-0", Region: "r0"}
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		response := BuildResponse(3, &table.Route{Name: "feedlog"}, Select(Query{Caller: caller, Instances: ins, Complete: true}), rnd)
+		response := BuildResponse(3, &table.Route{Name: "feedlog"}, Select(Query{Caller: caller, Instances: ins, Complete: true}), ScopeOwnRegion, rnd)
 		if usable > 0 && len(response.Instances) == 0 {
 			t.Fatalf("empty response with %d usable instances", usable)
 		}
@@ -78,6 +78,19 @@
 	}
 }
 
+func TestResponsesWithoutOwnRegionExpireSoon(t *testing.T) {
+	for scope, want := range map[Scope]time.Duration{
+		ScopeOwnRegion: 2 * time.Second, ScopeAllowedRegions: FallbackTTL, ScopeOtherRegions: FallbackTTL, ScopeNone: FallbackTTL,
+	} {
+		if got := LimitTTL(2*time.Second, scope); got != want {
+			t.Errorf("%s: %v, want %v", scope, got, want)
+		}
+	}
+	if got := LimitTTL(FallbackTTL/2, ScopeOtherRegions); got != FallbackTTL/2 {
+		t.Errorf("a shorter time to live becomes %v", got)
+	}
+}
+
 // TestEqualInstancesAreListedFirstEquallyOften checks that each of several instances
 // of the same order is first in about as many responses, within 20%.
 func TestEqualInstancesAreListedFirstEquallyOften(t *testing.T) {
@@ -90,7 +103,7 @@
 	candidates := Select(Query{Caller: Location{"z", "r"}, Instances: ins, Complete: true})
 	const responses = 8000
 	for range responses {
-		first[BuildResponse(1, &table.Route{}, candidates, rnd).Instances[0].ID]++
+		first[BuildResponse(1, &table.Route{}, candidates, ScopeOwnRegion, rnd).Instances[0].ID]++
 	}
 	for id, n := range first {
 		if n < responses/8*8/10 || n > responses/8*12/10 {
--- a/pkg/node/direct.go
+++ b/pkg/node/direct.go
@@ -88,16 +88,15 @@
 // those of its zone and a few of the other zones of its region. If the region has
 // no usable instance, for example because its cell is unreachable, it returns those of
 // other regions that lookup.Select allows. It returns none before the first tables, which
-// name the regions that host allows.
-func (n *Node) InstancesNear(host string, location lookup.Location) []lookup.Instance {
+// name the regions that host allows. ttl is the time to live of the response.
+func (n *Node) InstancesNear(host string, location lookup.Location) (named []lookup.Instance, ttl time.Duration) {
 	snap := n.snapshot.Load()
 	q := n.query(snap, location, snap.hostRegions.Of(host))
-	var named []lookup.Instance
 	if snap.tables.Version > 0 {
 		named = n.nearest(lookup.Select(q))
 	}
-	n.recordLookup(host, q, named)
-	return named
+	scope := n.recordLookup(host, q, named)
+	return named, lookup.LimitTTL(n.settings.Lookup.MaxTTL.Std(), scope)
 }
 
 // nearest returns the nearest candidates: those of the caller's region, if there are
--- a/pkg/node/instancesnear_test.go
+++ b/pkg/node/instancesnear_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
 	"github.com/jacinthramp/jacinthramp/pkg/table"
 	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
@@ -18,7 +19,8 @@
 // use.
 func idsNear(n *Node, location lookup.Location) []string {
 	var ids []string
-	for _, in := range n.InstancesNear("host.example", location) {
+	named, _ := n.InstancesNear("host.example", location)
+	for _, in := range named {
 		ids = append(ids, in.ID)
 	}
 	slices.Sort(ids)
@@ -60,7 +62,8 @@
 
 // nodeWithCandidates returns a node whose snapshot holds the given candidates.
 func nodeWithCandidates(candidates []lookup.Instance) *Node {
-	n := &Node{log: zap.NewNop(), now: time.Now, remoteLookups: telemetry.NewIntervalLimiter(remoteLookupLogInterval)}
+	s := settings.Default()
+	n := &Node{settings: &s, log: zap.NewNop(), now: time.Now, remoteLookups: telemetry.NewIntervalLimiter(remoteLookupLogInterval)}
 	snap := emptySnapshot()
 	snap.lookupCandidates = candidates
 	snap.tables = &table.Tables{Version: 1}
@@ -81,7 +84,8 @@
 		{map[string]int{"a": 4}, 4, 0},
 	} {
 		own, another := 0, 0
-		for _, in := range nodeWithZones(c.zones).InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"}) {
+		near, _ := nodeWithZones(c.zones).InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"})
+		for _, in := range near {
 			if in.Zone == "a" {
 				own++
 			} else {
@@ -100,7 +104,8 @@
 func TestInstancesOfOtherZonesVary(t *testing.T) {
 	n, named := nodeWithZones(map[string]int{"a": 4, "b": 8}), map[string]bool{}
 	for range 200 {
-		for _, in := range n.InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"}) {
+		near, _ := n.InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"})
+		for _, in := range near {
 			named[in.ID] = true
 		}
 	}
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -42,8 +42,8 @@
 	q := n.query(snap, location, n.allowedRegions(route))
 	q.Instances = n.withIDPrefixes(q.Instances)
 	c := lookup.Select(q)
-	n.recordLookup(route.Name, q, slices.Concat(c.Zone, c.Region, c.Others))
-	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, c, rnd))
+	scope := n.recordLookup(route.Name, q, slices.Concat(c.Zone, c.Region, c.Others))
+	writeJSON(w, lookup.BuildResponse(snap.tables.Version, route, c, scope, rnd))
 }
 
 // query returns the query of a lookup under snap.
--- a/pkg/node/lookuplog.go
+++ b/pkg/node/lookuplog.go
@@ -13,15 +13,21 @@
 const remoteLookupLogInterval = time.Second
 
 // recordLookup counts a lookup response by the instances that it names for name, a host
-// or a route. If none is of the caller's region, it also logs why.
-func (n *Node) recordLookup(name string, q lookup.Query, named []lookup.Instance) {
+// or a route, and returns its scope. If no instance is of the caller's region, it also
+// logs why.
+func (n *Node) recordLookup(name string, q lookup.Query, named []lookup.Instance) lookup.Scope {
 	scope := lookup.ScopeOf(q.Caller, q.Allowed, named)
 	if n.metrics != nil {
 		n.metrics.CountLookup(string(scope))
 	}
-	if scope == lookup.ScopeOwnRegion {
-		return
+	if scope != lookup.ScopeOwnRegion {
+		n.logRemoteLookup(name, q, scope, named)
 	}
+	return scope
+}
+
+// logRemoteLookup logs a lookup response without instances of the caller's region.
+func (n *Node) logRemoteLookup(name string, q lookup.Query, scope lookup.Scope, named []lookup.Instance) {
 	now := n.now()
 	omitted, ok := n.remoteLookups.Allow(now)
 	if !ok {
--- a/pkg/node/regionrestart_test.go
+++ b/pkg/node/regionrestart_test.go
@@ -39,7 +39,8 @@
 
 // regionsNear returns the regions of the instances that a caller in region ra may use.
 func regionsNear(n *Node, host string) []string {
-	return lookup.Regions(n.InstancesNear(host, lookup.Location{Zone: "ra-a", Region: "ra"}))
+	named, _ := n.InstancesNear(host, lookup.Location{Zone: "ra-a", Region: "ra"})
+	return lookup.Regions(named)
 }
 
 // restart describes the stops and starts of the instances of a region in turn, one a
@@ -164,6 +165,20 @@
 	}
 }
 
+// TestResponseOfAnotherRegionExpiresSoon covers callers that would stay in another region
+// for long after theirs is back.
+func TestResponseOfAnotherRegionExpiresSoon(t *testing.T) {
+	list := restart{instances: 2, leavingFor: 2, downFor: 2}.listAt(-1)
+	lost := answering(list[len(list)-1], stageServing, list, "ra")
+	if _, ttl := lost.InstancesNear("free.example", lookup.Location{Zone: "ra-a", Region: "ra"}); ttl != lookup.FallbackTTL {
+		t.Errorf("a response without the caller's region may be used for %v, want %v", ttl, lookup.FallbackTTL)
+	}
+	usable := answering(list[0], stageServing, list)
+	if _, ttl := usable.InstancesNear("free.example", lookup.Location{Zone: "ra-a", Region: "ra"}); ttl != usable.settings.Lookup.MaxTTL.Std() {
+		t.Errorf("a response with the caller's region may be used for %v, want %v", ttl, usable.settings.Lookup.MaxTTL.Std())
+	}
+}
+
 // TestNativeLookupNamesNoForbiddenRegion covers lookups by route, whose responses name
 // instances of other regions besides those of the caller's.
 func TestNativeLookupNamesNoForbiddenRegion(t *testing.T) {
