A region whose instances have just left is not lost yet

What callers saw: during a restart of a whole region, instances of other regions named their own for routes that only the restarting region may serve, once its old entries had left the list, or its cell was silent for 4.5 s because leaving instances send no reports.

A node remembers for 6 s when a region last had a leaving instance that was reachable; until then the region counts as one that may come back. A region that ends without notice is lost as soon as its cell is unreachable, as before.

TestRegionIsNotLostRightAfterItsInstancesHaveLeft fails without the memory ("right after all have left, a caller may use [osrednja], want none").

--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -239,7 +240,7 @@
 func (tc *testCluster) startWith(id, zone string, core Core) *testNode {
 	tc.started++
 	in := platform.Instance{
-		ID: id, Zone: zone, Region: "osrednja", Incarnation: fmt.Sprintf("%08d", tc.started),
+		ID: id, Zone: zone, Region: cmp.Or(tc.cell, "osrednja"), Incarnation: fmt.Sprintf("%08d", tc.started),
 		PeerAddress: id, CallerAddress: id, HopAddress: id, AdminAddress: id, Cell: tc.cell,
 	}
 	var feeds []platform.Feed
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -249,17 +249,22 @@
 		tc, r := newTestCluster(uint64(n)), newFakeFeedStore()
 		defer tc.stop()
 		tc.cell = "osrednja"
-		tc.seeds = []string{"instance-000", "instance-001"}
-		tc.feeds = func(id string) []platform.Feed {
-			return []platform.Feed{fakeFeed{r, catalog.Operators, id}, fakeFeed{r, catalog.Targets, id}}
-		}
-		r.setTarget("t1", true)
+		tc.useFeeds(r)
 		startAll(tc, n, n)
 		waitFor(t, 5*time.Second, "target t1 in force at all instances", func() bool { return tc.allHaveTarget("t1", true) })
 		test(t, tc, r)
 	})
 }
 
+// useFeeds has the instances to be started read the feeds of r, which get target t1.
+func (tc *testCluster) useFeeds(r *fakeFeedStore) {
+	tc.seeds = []string{"instance-000", "instance-001"}
+	tc.feeds = func(id string) []platform.Feed {
+		return []platform.Feed{fakeFeed{r, catalog.Operators, id}, fakeFeed{r, catalog.Targets, id}}
+	}
+	r.setTarget("t1", true)
+}
+
 // hasTarget reports whether the tables in force at the instance have the target.
 func (n *testNode) hasTarget(target string) bool {
 	t := n.Tables()
--- a/pkg/decision/lookup/select.go
+++ b/pkg/decision/lookup/select.go
@@ -9,6 +9,8 @@
 	// Complete is set once the platform's list of instances has been read. Before that,
 	// the caller's region may have usable instances that are not known.
 	Complete bool
+	// Departed is set while instances of the caller's region have left recently.
+	Departed bool
 }
 
 // Candidates are the instances that a response may name, all of them usable.
@@ -50,7 +52,7 @@
 // already has some that are not known here. Instances that leave are usually replaced
 // within seconds, and a caller without a new response uses its last one.
 func (q *Query) mayReturn() bool {
-	if !q.Complete {
+	if !q.Complete || q.Departed {
 		return true
 	}
 	for _, in := range q.Instances {
--- a/pkg/decision/lookup/select_test.go
+++ b/pkg/decision/lookup/select_test.go
@@ -22,7 +22,7 @@
 func drawQuery(t *rapid.T) Query {
 	return Query{
 		Caller: Location{Zone: "r0-0", Region: "r0"}, Allowed: drawAllowed(t),
-		Instances: drawInstances(t), Complete: rapid.Bool().Draw(t, "complete"),
+		Instances: drawInstances(t), Complete: rapid.Bool().Draw(t, "complete"), Departed: rapid.Bool().Draw(t, "departed"),
 	}
 }
 
@@ -55,7 +55,7 @@
 		restarting := slices.ContainsFunc(q.Instances, func(in Instance) bool {
 			return in.Region == q.Caller.Region && in.Leaving && !in.Unreachable
 		})
-		if !q.Allowed.Restricted() || q.Complete && !restarting {
+		if !q.Allowed.Restricted() || q.Complete && !q.Departed && !restarting {
 			t.Skip()
 		}
 		for _, in := range Select(q).Others {
@@ -82,7 +82,7 @@
 func TestCallersOfLostRegionAlwaysGetUsableInstances(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := drawQuery(t)
-		q.Complete = true
+		q.Complete, q.Departed = true, false
 		for i := range q.Instances {
 			in := &q.Instances[i]
 			in.Unreachable = in.Unreachable || in.Region == q.Caller.Region
--- a/pkg/node/lookup.go
+++ b/pkg/node/lookup.go
@@ -48,7 +48,10 @@
 
 // query returns the query of a lookup under snap.
 func (n *Node) query(snap *snapshot, location lookup.Location, allowed lookup.AllowedRegions) lookup.Query {
-	return lookup.Query{Caller: location, Allowed: allowed, Instances: n.candidates(snap), Complete: snap.listComplete}
+	return lookup.Query{
+		Caller: location, Allowed: allowed, Instances: n.candidates(snap), Complete: snap.listComplete,
+		Departed: snap.departures.Recent(n.now(), location.Region),
+	}
 }
 
 // candidates returns the candidates of snap in which this instance is marked if it is
--- a/pkg/node/regionrestart_test.go
+++ b/pkg/node/regionrestart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
@@ -179,6 +180,30 @@
 	}
 }
 
+// TestRegionIsNotLostRightAfterItsInstancesHaveLeft covers a region whose instances have
+// all left the list, or are unreachable, until their replacements report.
+func TestRegionIsNotLostRightAfterItsInstancesHaveLeft(t *testing.T) {
+	self := startInstance(t, "rb-0", "rb-a")
+	now := time.Unix(1000, 0)
+	self.now = func() time.Time { return now }
+	self.settings.Dispatch.Mode = settings.DispatchDirect
+	self.cluster.tables.Store(restrictedHosts())
+	knows := func(list ...platform.Instance) {
+		list = append(list, self.self)
+		self.cluster.list.Store(&list)
+		self.applyUpdates()
+	}
+	knows(platform.Instance{ID: "ra-0", Zone: "ra-a", Region: "ra", Leaving: true})
+	knows()
+	if got := regionsNear(self.Node, "own.example"); len(got) > 0 {
+		t.Errorf("right after all have left, a caller may use %v, want none", got)
+	}
+	now = now.Add(time.Minute)
+	if got := regionsNear(self.Node, "own.example"); len(got) != 1 {
+		t.Errorf("a minute after all have left, a caller may use %v, want another region", got)
+	}
+}
+
 // TestNativeLookupNamesNoForbiddenRegion covers lookups by route, whose responses name
 // instances of other regions besides those of the caller's.
 func TestNativeLookupNamesNoForbiddenRegion(t *testing.T) {
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -31,6 +31,8 @@
 	listComplete bool
 	// lookupCandidates are the instances that lookup responses may name.
 	lookupCandidates []lookup.Instance
+	// departures are those of lookupCandidates, also of earlier snapshots.
+	departures lookup.Departures
 	// sites holds the locations of the sites that callers' blocks may name.
 	sites map[string]lookup.Location
 	// instances and unreachableCells are what the peers and the lookup candidates
@@ -73,6 +75,7 @@
 		next.unreachableCells = unreachable
 		next.lookupCandidates = lookupCandidates(list, unreachable)
 	}
+	next.departures = old.departures.Observe(n.now(), next.lookupCandidates)
 	next.sites = siteLocations(next.tables, next.lookupCandidates)
 	n.snapshot.Store(&next)
 	n.drains.retain(next.targets)
