--- a/pkg/node/instancesnear_test.go
+++ b/pkg/node/instancesnear_test.go
@@ -4,16 +4,23 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/lookup"
 	"github.com/jacinthramp/jacinthramp/pkg/peer/platform"
+	"github.com/jacinthramp/jacinthramp/pkg/settings"
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+	"github.com/jacinthramp/jacinthramp/pkg/telemetry"
 )
 
 // idsNear returns the sorted ids of the instances that a caller at a location may
 // use.
 func idsNear(n *Node, location lookup.Location) []string {
 	var ids []string
-	for _, in := range n.InstancesNear(location) {
+	named, _ := n.InstancesNear("host.example", location)
+	for _, in := range named {
 		ids = append(ids, in.ID)
 	}
 	slices.Sort(ids)
@@ -34,10 +41,7 @@
 		{[]string{"rb"}, []string{"a1", "c1"}},
 		{[]string{"rb", "rc"}, []string{"a1"}},
 	} {
-		n := &Node{}
-		snap := emptySnapshot()
-		snap.lookupCandidates = lookupCandidates(list, c.unreachable)
-		n.snapshot.Store(snap)
+		n := nodeWithCandidates(lookupCandidates(list, c.unreachable))
 		if got := idsNear(n, lookup.Location{Zone: "b", Region: "rb"}); !slices.Equal(got, c.want) {
 			t.Errorf("unreachable %v: a caller in rb may use %v, want %v", c.unreachable, got, c.want)
 		}
@@ -53,9 +57,17 @@
 			list = append(list, platform.Instance{ID: fmt.Sprintf("%s%d", zone, i), Zone: zone, Region: "r", Cell: "r"})
 		}
 	}
-	n := &Node{}
+	return nodeWithCandidates(lookupCandidates(list, nil))
+}
+
+// nodeWithCandidates returns a node whose snapshot holds the given candidates.
+func nodeWithCandidates(candidates []lookup.Instance) *Node {
+	s := settings.Default()
+	n := &Node{settings: &s, log: zap.NewNop(), now: time.Now, remoteLookups: telemetry.NewIntervalLimiter(remoteLookupLogInterval)}
 	snap := emptySnapshot()
-	snap.lookupCandidates = lookupCandidates(list, nil)
+	snap.lookupCandidates = candidates
+	snap.tables = &table.Tables{Version: 1}
+	snap.listComplete = true
 	n.snapshot.Store(snap)
 	return n
 }
@@ -72,7 +84,8 @@
 		{map[string]int{"a": 4}, 4, 0},
 	} {
 		own, another := 0, 0
-		for _, in := range nodeWithZones(c.zones).InstancesNear(lookup.Location{Zone: "a", Region: "r"}) {
+		near, _ := nodeWithZones(c.zones).InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"})
+		for _, in := range near {
 			if in.Zone == "a" {
 				own++
 			} else {
@@ -91,7 +104,8 @@
 func TestInstancesOfOtherZonesVary(t *testing.T) {
 	n, named := nodeWithZones(map[string]int{"a": 4, "b": 8}), map[string]bool{}
 	for range 200 {
-		for _, in := range n.InstancesNear(lookup.Location{Zone: "a", Region: "r"}) {
+		near, _ := n.InstancesNear("host.example", lookup.Location{Zone: "a", Region: "r"})
+		for _, in := range near {
 			named[in.ID] = true
 		}
 	}
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -16,6 +16,7 @@
 	tables *table.Tables
 	// tablesSince is when this instance began to use the tables.
 	tablesSince time.Time
+	hostRegions lookup.HostRegions
 	// targets holds the clients of this zone's targets, with direct dispatch those
 	// of all targets, by target name.
 	targets map[string]*target.Client
@@ -25,8 +26,12 @@
 	// peers holds the clients of all other listed instances, by incarnation. It is
 	// used to forward repeats to their home.
 	peers map[peerKey]*hop.Client
+	// listComplete is set once the platform's list of instances has been read.
+	listComplete bool
 	// lookupCandidates are the instances that lookup responses may name.
 	lookupCandidates []lookup.Instance
+	// departures are those of lookupCandidates, also of earlier snapshots.
+	departures lookup.Departures
 	// sites holds the locations of the sites that callers' blocks may name.
 	sites map[string]lookup.Location
 	// instances and unreachableCells are what the peers and the lookup candidates
@@ -52,8 +57,10 @@
 	old := n.snapshot.Load()
 	next := *old
 	list := n.cluster.Instances()
+	_, next.listComplete = n.cluster.Members()
 	if t := n.cluster.Tables(); t != nil && t.Version > old.tables.Version {
 		next.tables, next.tablesSince = t, n.now()
+		next.hostRegions = lookup.NewHostRegions(t)
 	}
 	next.targets = n.targetClients(old, next.tables)
 	if !equalInstances(list, old.instances) {
@@ -65,6 +72,7 @@
 		next.unreachableCells = unreachable
 		next.lookupCandidates = lookupCandidates(list, unreachable)
 	}
+	next.departures = old.departures.Observe(n.now(), next.lookupCandidates)
 	next.sites = siteLocations(next.tables, next.lookupCandidates)
 	n.snapshot.Store(&next)
 	n.drains.retain(next.targets)
