Let instances with fast links read the feeds for their region

Change: an instance states the speed of its link (instance.link_mbps) in the list and its messages, and the rank order of a region begins with the fastest, by powers of two; within one speed, and where none is stated, it is as before.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -360,16 +360,17 @@
 // unless it is leaving, in the order in which they take the watcher role. The
 // caller holds mu.
 func (c *Cluster) rankCell(now time.Time) []string {
-	ids := make([]string, 0, 8)
+	ids, linkMbps := make([]string, 0, 8), map[string]int{c.self.ID: c.view.Self().LinkMbps}
 	if !c.leaving {
 		ids = append(ids, c.self.ID)
 	}
 	for _, m := range c.view.CellMembers(now, c.cell) {
 		if m.State == member.Alive {
 			ids = append(ids, m.ID)
+			linkMbps[m.ID] = m.LinkMbps
 		}
 	}
-	return spread.Rank(c.cell, ids)
+	return spread.RankByLink(c.cell, ids, linkMbps)
 }
 
 // currentTree returns the reporting tree of the cell. It has relays only when
--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -244,6 +244,8 @@
 	// cell of the instances to start; "" means their zone.
 	feeds func(id string) []platform.Feed
 	cell  string
+	// linkMbps returns the stated speed of an instance's link; nil means none.
+	linkMbps func(id string) int
 	// wrapFeed returns the feed that an instance uses in place of f; nil means f.
 	wrapFeed func(f fakeFeed) platform.Feed
 	// tableService returns the table service of an instance; nil means the store.
@@ -270,6 +272,9 @@
 		ID: id, Zone: zone, Region: cmp.Or(tc.cell, "osrednja"), Incarnation: fmt.Sprintf("%08d", tc.started),
 		PeerAddress: id, CallerAddress: id, HopAddress: id, AdminAddress: id, Cell: tc.cell,
 	}
+	if tc.linkMbps != nil {
+		in.LinkMbps = tc.linkMbps(id)
+	}
 	var feeds []platform.Feed
 	if tc.feeds != nil {
 		feeds = tc.feeds(id)
--- a/pkg/cluster/largeconfig_test.go
+++ b/pkg/cluster/largeconfig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -93,6 +94,33 @@
 	})
 }
 
+// TestFeedReaderHasAFastLink covers a region in which few instances have a fast link: the
+// first one in rank order, which reads the feeds for all others, must be one of them.
+func TestFeedReaderHasAFastLink(t *testing.T) {
+	fast := []string{"instance-003", "instance-017"}
+	prepare := func(tc *testCluster) {
+		tc.linkMbps = func(id string) int {
+			if slices.Contains(fast, id) {
+				return 200
+			}
+			return 10
+		}
+	}
+	runPreparedWithFeeds(t, 28, prepare, func(t *testing.T, tc *testCluster, _ *fakeFeedStore) {
+		time.Sleep(settleTime)
+		for _, n := range tc.nodes {
+			n.mu.Lock()
+			first := n.currentTree(time.Now()).First(len(fast))
+			n.mu.Unlock()
+			for _, id := range first {
+				if !slices.Contains(fast, id) {
+					t.Errorf("%s ranks %v first, want %v", n.self.ID, first, fast)
+				}
+			}
+		}
+	})
+}
+
 // TestSmallChangeOfALargeConfigurationIsSmall counts what instances send each other for the
 // change of one route of 2,800.
 func TestSmallChangeOfALargeConfigurationIsSmall(t *testing.T) {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -121,6 +121,7 @@
 		PeerAddress:   cmp.Or(s.Listen.PeerAdvertised, peerListener.Addr().String()),
 		AdminAddress:  ls.node.Admin.Addr().String(),
 		AdminTLS:      s.TLS.Admin,
+		LinkMbps:      int(s.Instance.LinkMbps),
 	}
 	if s.Dispatch.Mode == settings.DispatchDirect {
 		// In direct mode instances share nothing within a zone, so the cell for
--- a/pkg/decision/member/member.go
+++ b/pkg/decision/member/member.go
@@ -26,6 +26,8 @@
 	AdminAddress  string `json:"admin_address,omitempty"`
 	// AdminTLS is set when the admin listener accepts only TLS.
 	AdminTLS bool `json:"admin_tls,omitempty"`
+	// LinkMbps is the speed of the instance's link in Mbit/s; zero if it is not known.
+	LinkMbps int `json:"link_mbps,omitempty"`
 	// Leaving is set once the instance begins to stop. It is never reset within
 	// an incarnation.
 	Leaving bool `json:"leaving,omitempty"`
--- a/pkg/decision/spread/spread.go
+++ b/pkg/decision/spread/spread.go
@@ -5,6 +5,8 @@
 package spread
 
 import (
+	"math/bits"
+	"slices"
 	"sort"
 	"time"
 
@@ -38,6 +40,15 @@
 	return ranked
 }
 
+// RankByLink is Rank with the ids of faster links first. Links whose speeds in Mbit/s have
+// equally many binary digits count as equally fast.
+func RankByLink(role string, ids []string, mbps map[string]int) []string {
+	ranked := Rank(role, ids)
+	speed := func(id string) int { return bits.Len(uint(max(0, mbps[id]))) }
+	slices.SortStableFunc(ranked, func(a, b string) int { return speed(b) - speed(a) })
+	return ranked
+}
+
 // Position returns the index of id in ranked, or -1.
 func Position(ranked []string, id string) int {
 	for i, r := range ranked {
--- a/pkg/decision/spread/spread_test.go
+++ b/pkg/decision/spread/spread_test.go
@@ -80,3 +80,18 @@
 		t.Errorf("%.0f reads per second without watchers, budget %d", fallbackReads, budget)
 	}
 }
+
+func TestFasterLinksRankFirst(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f"}
+	mbps := map[string]int{"b": 200, "e": 1000, "c": 10, "d": 12, "f": -3}
+	ranked := RankByLink("r", ids, mbps)
+	if ranked[0] != "e" || ranked[1] != "b" {
+		t.Errorf("ranked %v, want the links of 1,000 and 200 Mbit/s first", ranked)
+	}
+	if c, d := Position(ranked, "c"), Position(ranked, "d"); max(c, d) != 3 || (c < d) != (Position(Rank("r", ids), "c") < Position(Rank("r", ids), "d")) {
+		t.Errorf("ranked %v, want links of 10 and 12 Mbit/s next, in the order of Rank", ranked)
+	}
+	if got, want := RankByLink("r", ids, nil), Rank("r", ids); !slices.Equal(got, want) {
+		t.Errorf("without speeds: %v, want %v", got, want)
+	}
+}
--- a/pkg/peer/platform/platform.go
+++ b/pkg/peer/platform/platform.go
@@ -98,6 +98,8 @@
 	// AdminTLS is true when the admin listener requires TLS with a client
 	// certificate.
 	AdminTLS bool `json:"admin_tls,omitempty"`
+	// LinkMbps is the speed of the instance's link in Mbit/s; zero if it is not known.
+	LinkMbps int `json:"link_mbps,omitempty"`
 	// Leaving is set once the instance has received the order to stop.
 	Leaving bool `json:"leaving"`
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -41,6 +41,7 @@
 	// minResponseHeaderMemory is enough memory for a few response headers of the
 	// largest size at the same time.
 	minResponseHeaderMemory = 1 << 20
+	maxLinkMbps             = 1e6
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -65,6 +66,9 @@
 			return &invalidSetting{f.key, f.value, acceptedName}
 		}
 	}
+	if mbps := s.Instance.LinkMbps; !(mbps >= 0 && mbps <= maxLinkMbps) {
+		return &invalidSetting{"instance.link_mbps", strconv.FormatFloat(mbps, 'g', -1, 64), "0 to 1000000 Mbit/s"}
+	}
 	return nil
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -52,6 +52,9 @@
 	// Seeds are peer addresses that are tried while no other instance is known.
 	// Optional.
 	Seeds []string `yaml:"seeds"`
+	// LinkMbps is the speed of the instance's link in Mbit/s. Instances with fast links
+	// read the platform's feeds for the others of their region. Optional.
+	LinkMbps float64 `yaml:"link_mbps"`
 }
 
 // ZoneRegion maps an availability zone to its region.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -54,6 +54,7 @@
 func TestParseRefusesWithFileLineAndKey(t *testing.T) {
 	for name, c := range map[string]struct{ old, replacement, want string }{
 		"unknown key":             {"  zone: osrednja-a", "  zonne: osrednja-a", "x.yaml:3: instance.zonne"},
+		"negative link speed":     {"  region: osrednja", "  region: osrednja\n  link_mbps: -1", "x.yaml:5: instance.link_mbps: invalid value \"-1\""},
 		"missing zone":            {"  zone: osrednja-a\n", "", "x.yaml:2: instance.zone"},
 		"invalid address":         {"127.0.0.1:2", "localhost:2", "x.yaml:7: listen.hop"},
 		"missing port":            {"127.0.0.1:2", "127.0.0.1", "x.yaml:7: listen.hop"},
