Name the base of a patch by its content

TestPatchDoesNotMixConfigurationsAfterARestore (new) covers both directions. TestVersionWithoutAChangeNeedsNoWholeConfiguration (new): a row that can't be read raised the version, and each member needed the whole configuration.

Change: the base of a patch is a digest of the configuration. A version raised without a change is an empty patch. What an instance can use of an announcement whose patch it can't apply, it does. A member that has refused a patch is asked again after 30 s: a refusal may have another reason than an earlier build. A delivery that follows another one counts the members that are being sent to. A read that makes progress is not interrupted for another one's silence, and each page of a table has the time that all pages had.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -52,6 +52,8 @@
 	previousVersion uint64
 	patch           *ConfigPatch
 	patchComputed   bool
+	// configDigest is the digest of Config; zero until it is needed.
+	configDigest uint64
 }
 
 // deferTo makes e take the place of the entry at the given time.
@@ -184,7 +186,7 @@
 		c.refused.add(e.Key)
 	}
 	if old != nil && !c.replaces(now, old, e) {
-		old.Version = e.Version
+		old.raise(e.Version)
 		return
 	}
 	stored := &storedEntry{Entry: *e, appliedAt: now, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
--- a/pkg/catalog/patch.go
+++ b/pkg/catalog/patch.go
@@ -1,8 +1,16 @@
 package catalog
 
-import "github.com/jacinthramp/jacinthramp/pkg/table"
+import (
+	"encoding/json"
 
-// ConfigPatch is the change to a configuration from the one in the entry of version Base.
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthramp/jacinthramp/pkg/table"
+)
+
+// ConfigPatch is the change to a configuration from the one whose digest is Base. Instances
+// may hold different configurations under one version of the entry: after a restore of the
+// store, those that know a later one keep it.
 type ConfigPatch struct {
 	Base uint64 `json:"base"`
 	// Version and Services are those of the new configuration.
@@ -16,6 +24,24 @@
 	return &Config{Version: p.Version, Services: p.Services, Routes: table.ApplyRoutePatch(base.Routes, p.Routes)}
 }
 
+// digest returns a hash of the configuration, which is computed once; zero without one.
+func (s *storedEntry) digest() uint64 {
+	if s.configDigest == 0 && s.Config != nil {
+		s.configDigest = digestOf(s.Config)
+	}
+	return s.configDigest
+}
+
+// digestOf returns a hash of c, which is not zero.
+func digestOf(c *Config) uint64 {
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		// Nothing is equal to a configuration that has no encoding.
+		return 0
+	}
+	return max(1, xxhash.Sum64(encoded))
+}
+
 // maxPatchedFraction is the largest fraction of the routes that a patch may set; beyond it
 // the whole configuration is hardly larger.
 const maxPatchedFraction = 0.75
@@ -29,7 +55,7 @@
 	s.patchComputed = true
 	routes, ok := table.NewRoutePatch(s.previous.Routes, s.Config.Routes)
 	if ok && float64(len(routes.Set)) <= maxPatchedFraction*float64(len(s.Config.Routes)) {
-		s.patch = &ConfigPatch{Base: s.previousVersion, Version: s.Config.Version, Services: s.Config.Services, Routes: routes}
+		s.patch = &ConfigPatch{Base: digestOf(s.previous), Version: s.Config.Version, Services: s.Config.Services, Routes: routes}
 	}
 	return s.patch
 }
@@ -55,6 +81,19 @@
 	return out, ok
 }
 
+// WithoutOperators returns the entries of other topics than Operators, and p without its
+// position: what an instance can use of entries whose patches it can't apply.
+func (c *Catalog) WithoutOperators(entries []Entry, p Position) ([]Entry, Position) {
+	out := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		if e.Topic != Operators {
+			out = append(out, e)
+		}
+	}
+	p[Operators] = c.position[Operators]
+	return out, p
+}
+
 // CanApply reports whether the patches among entries are for the configurations of the
 // catalog, or older than these. If not, the catalog needs the whole configuration.
 func (c *Catalog) CanApply(entries []Entry) bool {
@@ -73,7 +112,15 @@
 
 // isBaseOf reports whether p is a patch for the configuration of s.
 func (s *storedEntry) isBaseOf(p *ConfigPatch) bool {
-	return s.Config != nil && s.Version == p.Base
+	return s.Config != nil && p.Base != 0 && s.digest() == p.Base
+}
+
+// raise gives the entry a later version without a change of its content.
+func (s *storedEntry) raise(version uint64) {
+	if s.Config != nil {
+		s.previous, s.previousVersion, s.patch, s.patchComputed = s.Config, s.Version, nil, false
+	}
+	s.Version = version
 }
 
 // withConfig returns e with the configuration that its patch results in. ok is false if the
--- a/pkg/catalog/patch_test.go
+++ b/pkg/catalog/patch_test.go
@@ -25,13 +25,17 @@
 	return e
 }
 
-// TestPatchesResultInTheSameConfiguration has one catalog read versions of a configuration
-// and another one learn them from it, with patches whenever it can, and at times not at all.
+// TestPatchesResultInTheSameConfiguration has one catalog read versions of a configuration,
+// and rows that can't be read, and another one learn them from it, with patches whenever it can, and at times not at all.
 func TestPatchesResultInTheSameConfiguration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader, learner := New(), New()
 		for version := uint64(1); version < 12; version++ {
-			reader.Merge(at(0), Operators, []Entry{drawConfig(t, version)}, version)
+			e := drawConfig(t, version)
+			if version > 1 && rapid.IntRange(0, 4).Draw(t, "unreadable") == 0 {
+				e = Entry{Topic: Operators, Key: e.Key, Version: version, Unreadable: true}
+			}
+			reader.Merge(at(0), Operators, []Entry{e}, version)
 			if rapid.IntRange(0, 3).Draw(t, "missed") == 0 {
 				continue
 			}
@@ -51,7 +55,8 @@
 // TestPatchForAnotherConfigurationIsNotApplied covers a catalog that has missed the version
 // that a patch is for, and one that has a later version.
 func TestPatchForAnotherConfigurationIsNotApplied(t *testing.T) {
-	patch := Entry{Topic: Operators, Key: "config", Version: 5, Patch: &ConfigPatch{Base: 4, Version: 5}}
+	base := config(4, 4)
+	patch := Entry{Topic: Operators, Key: "config", Version: 5, Patch: &ConfigPatch{Base: digestOf(base.Config), Version: 5}}
 	behind, ahead := New(), New()
 	behind.Merge(at(0), Operators, []Entry{config(3, 3)}, 3)
 	ahead.Merge(at(0), Operators, []Entry{config(6, 6)}, 6)
@@ -70,3 +75,57 @@
 		t.Errorf("an outdated patch has taken configuration %d in the place of 6", got)
 	}
 }
+
+// routesConfig returns an entry that holds a configuration with routes of the given names.
+func routesConfig(version, number uint64, names ...string) Entry {
+	e := config(version, number)
+	e.Config.Routes = nil
+	for _, name := range names {
+		e.Config.Routes = append(e.Config.Routes, table.Route{Name: name, PathPrefix: "/" + name + "/"})
+	}
+	return e
+}
+
+// TestPatchDoesNotMixConfigurationsAfterARestore has one catalog keep what is later than the
+// restored copy of the store, and another one know only the copy, under the same version.
+func TestPatchDoesNotMixConfigurationsAfterARestore(t *testing.T) {
+	restored := []Entry{routesConfig(VersionOf(2, 3), 4, "a", "old", "c", "d", "e")}
+	for _, writerKnowsLater := range []bool{true, false} {
+		running, started := New(), New()
+		running.Replace(at(0), Operators, []Entry{routesConfig(VersionOf(1, 3), 4, "a", "old", "c", "d", "e")}, VersionOf(1, 3))
+		running.Merge(at(time.Second), Operators, []Entry{routesConfig(VersionOf(1, 50), 5, "a", "new", "c", "d", "e")}, VersionOf(1, 50))
+		running.Replace(at(2*time.Second), Operators, restored, VersionOf(2, 4))
+		started.Replace(at(2*time.Second), Operators, restored, VersionOf(2, 4))
+		writer, learner := started, running
+		if writerKnowsLater {
+			writer, learner = running, started
+		}
+		base := writer.Position()
+		writer.Merge(at(4*time.Second), Operators, []Entry{routesConfig(VersionOf(2, 5), 6, "a", "new", "c", "d", "f")}, VersionOf(2, 5))
+		patched, ok := writer.Patched(writer.EntriesAfter(at(4*time.Second), base), base)
+		if ok && learner.CanApply(patched) {
+			learner.MergeAll(at(4*time.Second), patched, writer.Position())
+			t.Errorf("writer knows the later one: %v: a patch results in %+v, want %+v", writerKnowsLater, learner.config(), writer.config())
+		}
+	}
+}
+
+// TestVersionWithoutAChangeNeedsNoWholeConfiguration has a row that can't be read raise the
+// version of the configuration.
+func TestVersionWithoutAChangeNeedsNoWholeConfiguration(t *testing.T) {
+	reader, learner := New(), New()
+	for _, c := range []*Catalog{reader, learner} {
+		c.Replace(at(0), Operators, []Entry{routesConfig(3, 3, "a", "b", "c", "d", "e")}, 3)
+		c.Merge(at(0), Operators, []Entry{routesConfig(5, 5, "a", "b", "c", "d", "f")}, 5)
+	}
+	base := reader.Position()
+	reader.Merge(at(time.Second), Operators, []Entry{{Topic: Operators, Key: "config", Version: 7, Unreadable: true}}, 7)
+	patched, ok := reader.Patched(reader.EntriesAfter(at(time.Second), base), base)
+	if !ok || !learner.CanApply(patched) {
+		t.Fatalf("patched %v: an instance that has all entries before needs the whole configuration", ok)
+	}
+	learner.MergeAll(at(time.Second), patched, reader.Position())
+	if got := learner.config(); !reflect.DeepEqual(got, reader.config()) || learner.Position() != reader.Position() {
+		t.Errorf("%+v at %v, want %+v at %v", got, learner.Position(), reader.config(), reader.Position())
+	}
+}
--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -160,6 +160,7 @@
 	}
 	d.pending = false
 	a, ok := c.entriesAfter(time.Now(), d.base)
+	a.recipients = len(c.discovery.deliveries)
 	if !ok {
 		delete(c.discovery.deliveries, id)
 	}
@@ -290,7 +291,10 @@
 	}
 	base, entries := c.discovery.catalog.Position(), q.Entries.List()
 	if !c.discovery.canApply(q.From, entries) {
-		return
+		rest := *q
+		usable, upTo := c.discovery.catalog.WithoutOperators(entries, q.CatalogPosition)
+		rest.CatalogPosition, rest.Entries = upTo, instance.NewEncodedEntries(usable)
+		q, entries = &rest, usable
 	}
 	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
 		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
--- a/pkg/cluster/entriesform.go
+++ b/pkg/cluster/entriesform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/jacinthramp/jacinthramp/pkg/decision/member"
@@ -16,9 +17,12 @@
 // promptBytes is the number of bytes whose transfer is a part of CallTimeout.
 const promptBytes = 64 << 10
 
-// patchRefusals names the instances of an earlier build, which know no patches, by id and
-// incarnation.
-type patchRefusals map[memberKey]bool
+// patchRefusalTTL is how long a member that has refused a patch gets whole configurations.
+const patchRefusalTTL = 30 * time.Second
+
+// patchRefusals holds until when members get whole configurations, by id and incarnation:
+// instances of an earlier build know no patches.
+type patchRefusals map[memberKey]time.Time
 
 // memberKey identifies one incarnation of an instance.
 type memberKey struct{ id, incarnation string }
@@ -31,7 +35,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.discovery.patchRefusals[memberKey{m.ID, m.Incarnation}] {
+	if time.Now().Before(c.discovery.patchRefusals[memberKey{m.ID, m.Incarnation}]) {
 		return instance.MethodAnnounce, a.request.Entries
 	}
 	return instance.MethodAnnouncePatch, a.patched
@@ -45,7 +49,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.discovery.patchRefusals[memberKey{m.ID, m.Incarnation}] = true
+	now := time.Now()
+	maps.DeleteFunc(c.discovery.patchRefusals, func(_ memberKey, until time.Time) bool { return now.After(until) })
+	c.discovery.patchRefusals[memberKey{m.ID, m.Incarnation}] = now.Add(patchRefusalTTL)
 	return true
 }
 
--- a/pkg/cluster/feedread.go
+++ b/pkg/cluster/feedread.go
@@ -133,7 +133,11 @@
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
 	if wait > 0 {
-		c.discovery.interruptPoll[t] = interrupt
+		c.discovery.interruptPoll[t] = func(cause error) {
+			if !platform.HasProgress(ctx) {
+				interrupt(cause)
+			}
+		}
 	}
 	c.mu.Unlock()
 	read, err := f.Changes(ctx, after, wait)
@@ -167,7 +171,9 @@
 
 // readSnapshot reads all entries of f and replaces those in the catalog.
 func (c *Cluster) readSnapshot(ctx context.Context, f platform.Feed) error {
-	callCtx, cancel := platform.WithProgressLimits(ctx, transferLimits(c.timing.StoreTimeout))
+	limits := transferLimits(c.timing.StoreTimeout)
+	limits.Next = c.timing.StoreTimeout // a table may have several pages
+	callCtx, cancel := platform.WithProgressLimits(ctx, limits)
 	defer cancel()
 	sent := time.Now()
 	read, err := f.Snapshot(callCtx)
--- a/pkg/peer/platform/progress.go
+++ b/pkg/peer/platform/progress.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// HasProgress reports whether the response to the call made with ctx has begun.
+func HasProgress(ctx context.Context) bool {
+	p, ok := ctx.Value(progressKey{}).(*progress)
+	if !ok {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.end.IsZero()
+}
+
 // report extends the time left at now, within the time left for the transfer.
 func (p *progress) report(now time.Time) {
 	p.mu.Lock()
