--- a/pkg/decision/steer/objects_test.go
+++ b/pkg/decision/steer/objects_test.go
@@ -137,11 +137,16 @@
 }
 
 func TestRetryIsRefusedAfterItsServiceIsRemoved(t *testing.T) {
-	c, r, next := refusedOnce(t, func([]table.Pool) []table.Pool { return nil })
-	next.Routes[0].Pools = nil
-	c.SetTables(at(time.Second), next)
-	if d := c.Decide(at(time.Second), r); d.Verdict != Refuse || d.Kind != fault.KindNoTarget {
-		t.Errorf("verdict %v, kind %v, want a refusal with no-target", d.Verdict, d.Kind)
+	for name, change := range map[string]func([]table.Pool) []table.Pool{
+		"removed":               func([]table.Pool) []table.Pool { return nil },
+		"no longer the route's": func(pools []table.Pool) []table.Pool { return pools },
+	} {
+		c, r, next := refusedOnce(t, change)
+		next.Routes[0].Pools = nil
+		c.SetTables(at(time.Second), next)
+		if d := c.Decide(at(time.Second), r); d.Verdict != Refuse || d.Kind != fault.KindNoTarget {
+			t.Errorf("%s: verdict %v, kind %v, want a refusal with no-target", name, d.Verdict, d.Kind)
+		}
 	}
 }
 
