Keep the patches from the last four configurations

In a series of changes each member is some versions behind: what follows while a delivery is in flight goes out in one message from an older base, which made it the whole configuration, to all members at once. TestPatchesReachInstancesSomeVersionsBehind (new): an instance two versions behind got no patch; now one that is up to four behind does.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -46,12 +46,8 @@
 	// lastPut the version in the store of the last entry that was not removed.
 	lastTarget *Target
 	lastPut    uint64
-	// previous is the configuration that this one has replaced, of the entry with the
-	// version previousVersion; nil if there was none. patch leads from it to this one.
-	previous        *Config
-	previousVersion uint64
-	patch           *ConfigPatch
-	patchComputed   bool
+	// past are the configurations before this one, the latest first.
+	past []*pastConfig
 	// configDigest is the digest of Config; zero until it is needed.
 	configDigest uint64
 }
@@ -194,7 +190,7 @@
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
 	if e.Config != nil && old != nil && old.Config != nil {
-		stored.previous, stored.previousVersion = old.Config, old.Version
+		stored.past = old.pastWith()
 	}
 	if e.Age > 0 {
 		stored.writtenAfter = now.Add(-e.Age)
--- a/pkg/catalog/patch.go
+++ b/pkg/catalog/patch.go
@@ -46,18 +46,52 @@
 // the whole configuration is hardly larger.
 const maxPatchedFraction = 0.75
 
-// patchFromPrevious returns the patch from the configuration before that of s, or nil if
-// there is none or it is not worth it. It is computed once.
-func (s *storedEntry) patchFromPrevious() *ConfigPatch {
-	if s.previous == nil || s.Config == nil || s.patchComputed {
-		return s.patch
+// maxPastConfigs is the number of earlier configurations from which there are patches: in a
+// series of changes, members are some versions behind.
+const maxPastConfigs = 4
+
+// pastConfig is an earlier configuration of an entry.
+type pastConfig struct {
+	config *Config
+	// version is that of the entry that held it.
+	version uint64
+	// patch leads from it to the present one; nil if it is not worth it. It is computed once.
+	patch    *ConfigPatch
+	computed bool
+}
+
+// pastWith returns the earlier configurations of an entry that takes the place of s, or of s
+// itself under a later version.
+func (s *storedEntry) pastWith() []*pastConfig {
+	past := []*pastConfig{{config: s.Config, version: s.Version}}
+	for _, earlier := range s.past[:min(len(s.past), maxPastConfigs-1)] {
+		past = append(past, &pastConfig{config: earlier.config, version: earlier.version})
+	}
+	return past
+}
+
+// patchSince returns the patch from the configuration that a catalog has which is complete up
+// to a version, or nil if there is none or it is not worth it.
+func (s *storedEntry) patchSince(version uint64) *ConfigPatch {
+	for _, earlier := range s.past {
+		if earlier.version <= version {
+			return earlier.patchTo(s.Config)
+		}
+	}
+	return nil
+}
+
+// patchTo returns the patch to the configuration c.
+func (p *pastConfig) patchTo(c *Config) *ConfigPatch {
+	if p.computed {
+		return p.patch
 	}
-	s.patchComputed = true
-	routes, ok := table.NewRoutePatch(s.previous.Routes, s.Config.Routes)
-	if ok && float64(len(routes.Set)) <= maxPatchedFraction*float64(len(s.Config.Routes)) {
-		s.patch = &ConfigPatch{Base: digestOf(s.previous), Version: s.Config.Version, Services: s.Config.Services, Routes: routes}
+	p.computed = true
+	routes, ok := table.NewRoutePatch(p.config.Routes, c.Routes)
+	if ok && float64(len(routes.Set)) <= maxPatchedFraction*float64(len(c.Routes)) {
+		p.patch = &ConfigPatch{Base: digestOf(p.config), Version: c.Version, Services: c.Services, Routes: routes}
 	}
-	return s.patch
+	return p.patch
 }
 
 // Patched returns entries, which EntriesAfter has returned for p, with patches in place of
@@ -66,10 +100,10 @@
 	for i := range entries {
 		e := &entries[i]
 		stored := c.entries[e.Topic][e.Key]
-		if e.Config == nil || stored == nil || stored.Config != e.Config || p[e.Topic] < stored.previousVersion {
+		if e.Config == nil || stored == nil || stored.Config != e.Config {
 			continue
 		}
-		patch := stored.patchFromPrevious()
+		patch := stored.patchSince(p[e.Topic])
 		if patch == nil {
 			continue
 		}
@@ -118,7 +152,7 @@
 // raise gives the entry a later version without a change of its content.
 func (s *storedEntry) raise(version uint64) {
 	if s.Config != nil {
-		s.previous, s.previousVersion, s.patch, s.patchComputed = s.Config, s.Version, nil, false
+		s.past = s.pastWith()
 	}
 	s.Version = version
 }
--- a/pkg/catalog/patch_test.go
+++ b/pkg/catalog/patch_test.go
@@ -129,3 +129,27 @@
 		t.Errorf("%+v at %v, want %+v at %v", got, learner.Position(), reader.config(), reader.Position())
 	}
 }
+
+// TestPatchesReachInstancesSomeVersionsBehind has several versions come while one is being
+// delivered: an instance that has missed some must not need the whole configuration.
+func TestPatchesReachInstancesSomeVersionsBehind(t *testing.T) {
+	for behind := 1; behind <= maxPastConfigs; behind++ {
+		reader, learner := New(), New()
+		for version := uint64(1); version <= 8; version++ {
+			e := []Entry{routesConfig(version, version, "a", "b", "c", "d", fmt.Sprint("e", version))}
+			reader.Merge(at(0), Operators, e, version)
+			if version <= 8-uint64(behind) {
+				learner.Merge(at(0), Operators, e, version)
+			}
+		}
+		base := learner.Position()
+		patched, ok := reader.Patched(reader.EntriesAfter(at(0), base), base)
+		if !ok || !learner.CanApply(patched) {
+			t.Fatalf("%d versions behind: patched %v, and not applicable", behind, ok)
+		}
+		learner.MergeAll(at(0), patched, reader.Position())
+		if !reflect.DeepEqual(learner.config(), reader.config()) {
+			t.Errorf("%d versions behind: %+v, want %+v", behind, learner.config(), reader.config())
+		}
+	}
+}
