--- a/pkg/cluster/fake_test.go
+++ b/pkg/cluster/fake_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -243,6 +244,8 @@
 	// cell of the instances to start; "" means their zone.
 	feeds func(id string) []platform.Feed
 	cell  string
+	// linkMbps returns the stated speed of an instance's link; nil means none.
+	linkMbps func(id string) int
 	// wrapFeed returns the feed that an instance uses in place of f; nil means f.
 	wrapFeed func(f fakeFeed) platform.Feed
 	// tableService returns the table service of an instance; nil means the store.
@@ -266,9 +269,12 @@
 func (tc *testCluster) startWith(id, zone string, core Core) *testNode {
 	tc.started++
 	in := platform.Instance{
-		ID: id, Zone: zone, Region: "osrednja", Incarnation: fmt.Sprintf("%08d", tc.started),
+		ID: id, Zone: zone, Region: cmp.Or(tc.cell, "osrednja"), Incarnation: fmt.Sprintf("%08d", tc.started),
 		PeerAddress: id, CallerAddress: id, HopAddress: id, AdminAddress: id, Cell: tc.cell,
 	}
+	if tc.linkMbps != nil {
+		in.LinkMbps = tc.linkMbps(id)
+	}
 	var feeds []platform.Feed
 	if tc.feeds != nil {
 		feeds = tc.feeds(id)
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -268,18 +268,23 @@
 		tc, r := newTestCluster(uint64(n)), newFakeFeedStore()
 		defer tc.stop()
 		tc.cell = "osrednja"
-		tc.seeds = []string{"instance-000", "instance-001"}
 		prepare(tc)
-		tc.feeds = func(id string) []platform.Feed {
-			return []platform.Feed{tc.feed(r, catalog.Operators, id), tc.feed(r, catalog.Targets, id)}
-		}
-		r.setTarget("t1", true)
+		tc.useFeeds(r)
 		startAll(tc, n, n)
 		waitFor(t, 5*time.Second, "target t1 in force at all instances", func() bool { return tc.allHaveTarget("t1", true) })
 		test(t, tc, r)
 	})
 }
 
+// useFeeds has the instances to be started read the feeds of r, which get target t1.
+func (tc *testCluster) useFeeds(r *fakeFeedStore) {
+	tc.seeds = []string{"instance-000", "instance-001"}
+	tc.feeds = func(id string) []platform.Feed {
+		return []platform.Feed{tc.feed(r, catalog.Operators, id), tc.feed(r, catalog.Targets, id)}
+	}
+	r.setTarget("t1", true)
+}
+
 // feed returns an instance's feed of a topic.
 func (tc *testCluster) feed(r *fakeFeedStore, topic catalog.Topic, id string) platform.Feed {
 	f := fakeFeed{r, topic, id}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -162,5 +162,10 @@
 // the tables in force did not allow the request its pool or region.
 func (m *Metrics) CountDisallowedAttempt() { m.scope.Counter("disallowed_attempts").Inc(1) }
 
+// CountLookup counts a lookup response by the scope of the instances that it names.
+func (m *Metrics) CountLookup(scope string) {
+	m.scope.Tagged(map[string]string{"scope": scope}).Counter("lookups").Inc(1)
+}
+
 // CountPanic counts a recovered panic, which affected one request or message only.
 func (m *Metrics) CountPanic() { m.scope.Counter("panics").Inc(1) }
