--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -330,27 +330,6 @@
 	return time.Duration(float64(d) * (0.9 + 0.2*c.cfg.Rand()))
 }
 
-// call sends one call to another instance and records in the view whether the
-// instance was reached.
-func (c *Cluster) call(ctx context.Context, to member.Info, m instance.Method, params, result any) error {
-	return c.callWithin(ctx, c.timing.CallTimeout, to, m, params, result)
-}
-
-// callWithin is call with a timeout.
-func (c *Cluster) callWithin(ctx context.Context, timeout time.Duration, to member.Info, m instance.Method, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err := c.cfg.Peers.Call(ctx, to.PeerAddress, m, params, result)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	reached := err == nil || (fault.KindOf(err) != fault.KindPeerUnavailable && fault.KindOf(err) != fault.KindNone)
-	c.view.ObserveCall(time.Now(), to.ID, reached)
-	if instance.IsRefused(err) {
-		c.observeRefusedConnection(time.Now(), to)
-	}
-	return err
-}
-
 // findMember returns the member with key k. The caller holds mu.
 func (c *Cluster) findMember(k allowance.HolderKey) (member.Info, bool) {
 	return c.view.Find(k.ID, k.Incarnation)
