--- a/pkg/decision/member/info.go
+++ b/pkg/decision/member/info.go
@@ -16,8 +16,9 @@
 	AdminAddress  string `json:"admin_address,omitempty"`
 	// AdminTLS is set when the admin listener accepts only TLS.
 	AdminTLS bool `json:"admin_tls,omitempty"`
-	// LinkMbps is the speed of the instance's link in Mbit/s; zero if it is not known.
-	LinkMbps int `json:"link_mbps,omitempty"`
+	// LinkMbps is the speed of the instance's link in Mbit/s; zero if it is not known. Its
+	// name in messages is one that their compression dictionary contains.
+	LinkMbps int `json:"weight,omitempty"`
 	// Leaving is set once the instance begins to stop. It is never reset within
 	// an incarnation.
 	Leaving bool `json:"leaving,omitempty"`
