--- a/pkg/cluster/patchrestore_test.go
+++ b/pkg/cluster/patchrestore_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/jacinthramp/jacinthramp/pkg/peer/instance"
 )
 
 // routeTimeouts returns the timeouts of the routes in force at the instance.
@@ -48,3 +50,33 @@
 		}
 	})
 }
+
+// TestPatchesPassThroughRelays writes versions in a region with relays, some of them while
+// the one before is being delivered.
+func TestPatchesPassThroughRelays(t *testing.T) {
+	const routes, last = 10, 8
+	size := leaveBounds[2]
+	runWithFeeds(t, size.instances, func(t *testing.T, tc *testCluster, r *fakeFeedStore) {
+		time.Sleep(settleTime)
+		for version := uint64(2); version <= last; version++ {
+			r.write(largeConfig(version, routes))
+			time.Sleep(time.Duration(version%3) * 200 * time.Millisecond)
+		}
+		if took := waitFor(t, time.Minute, "the last version in force", func() bool { return tc.configInForce(last) }); took > size.bound {
+			t.Errorf("in force everywhere after %v, allowed are %v", took, size.bound)
+		}
+		time.Sleep(time.Second)
+		want := tc.nodes[0].routeTimeouts()
+		if got := want[last%routes]; got != last*time.Second {
+			t.Errorf("the route that version %d changes has the timeout %v", last, got)
+		}
+		for _, n := range tc.nodes {
+			if got := n.routeTimeouts(); !slices.Equal(got, want) {
+				t.Errorf("%s has timeouts %v, want %v", n.self.ID, got, want)
+			}
+		}
+		if tc.net.sent(instance.MethodAnnouncePatch) == 0 {
+			t.Error("no patch was sent")
+		}
+	})
+}
