review: case 9, servers that leave while a long list is read stay in use

Ports of instances now lie below those of outgoing connections; before, two of some twenty runs could not start an instance.

--- a/review/harness2/config.go
+++ b/review/harness2/config.go
@@ -30,11 +30,15 @@
 	}
 }
 
-// putServer writes the entry of a server, unless the store is away.
+// putServer writes the entry of a server, or removes it for nil, unless the store is away.
 func (w *world) putServer(id string, entry map[string]any) {
 	w.storeMu.RLock()
 	defer w.storeMu.RUnlock()
-	if !w.storeAway {
+	switch {
+	case w.storeAway:
+	case entry == nil:
+		w.store.Put("servers", id, nil)
+	default:
 		w.store.Put("servers", id, entry)
 	}
 }
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -4,8 +4,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +26,9 @@
 	heartbeat = 1500 * time.Millisecond
 	// readyTimeout is how long an instance may take to become ready.
 	readyTimeout = 15 * time.Second
+	// The ports of instances lie between minPort and maxPort.
+	minPort, maxPort = 12000, 32000
+	maxPortTries     = 1000
 )
 
 // settingsTemplate holds what deploy/settings.yaml.tmpl makes of the settings of a machine.
@@ -81,6 +86,8 @@
 	store       *standin.Store
 	storeAddr   string
 	instances   []*instance
+	// usedPorts are those given to instances, which may not listen on them yet.
+	usedPorts map[string]bool
 
 	// storeMu guards storeAway, which is set while the store refuses all calls.
 	storeMu   sync.RWMutex
@@ -100,12 +107,12 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: f, store: standin.NewStore()}
+	w := &world{dir: dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: f, store: standin.NewStore(), usedPorts: map[string]bool{}}
 	w.binary = "target/jacinthrampd"
 	if _, err := os.Stat(w.binary); err != nil {
 		return nil, err
 	}
-	w.storeAddr, err = w.serve(w.store)
+	w.storeAddr, err = w.serve(pagedStore{w.store})
 	return w, err
 }
 
@@ -151,29 +158,28 @@
 	}
 }
 
-// freePorts returns n free loopback addresses.
-func freePorts(n int) ([]string, error) {
+// freePorts returns n free loopback addresses. Their ports are below those that the system
+// gives to outgoing connections, one of which could take the port of a process that restarts.
+func (w *world) freePorts(n int) ([]string, error) {
 	var out []string
-	var open []net.Listener
-	defer func() {
-		for _, ln := range open {
-			_ = ln.Close()
+	for range maxPortTries {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		ln, err := net.Listen("tcp", address)
+		if err != nil || w.usedPorts[address] {
+			continue
 		}
-	}()
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		_ = ln.Close()
+		w.usedPorts[address] = true
+		if out = append(out, address); len(out) == n {
+			return out, nil
 		}
-		open = append(open, ln)
-		out = append(out, ln.Addr().String())
 	}
-	return out, nil
+	return nil, errors.New("no free ports")
 }
 
 // addInstance adds an instance with free ports, without starting it.
 func (w *world) addInstance(id, zone string) (*instance, error) {
-	p, err := freePorts(6)
+	p, err := w.freePorts(6)
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"config-restore": configRestore,
 	"pipelined-cut":  pipelinedCut,
+	"paged-restart":  pagedRestart,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness2/replay.go
+++ b/review/harness2/replay.go
@@ -107,6 +107,28 @@
 	return len(c.regressed) > 0
 }
 
+// get sends one idempotent request and returns the status and the server that answered it.
+func get(client *http.Client, address, id string) (status int, by string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/get/"+id, http.NoBody)
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = hostName
+	r.Header.Set(headerID, id)
+	r.Header.Set(headerDeadline, "2500")
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	parts := strings.Split(resp.Header.Get(headerStamp), ".")
+	if len(parts) != 3 {
+		return resp.StatusCode, ""
+	}
+	return resp.StatusCode, parts[1]
+}
+
 // book sends one booking.
 func book(client *http.Client, address, id string) (status int, text string) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/book/1", strings.NewReader("load of silage"))
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -55,8 +56,9 @@
 	return s, nil
 }
 
-// reportLoop writes the server's entry every heartbeat.
+// reportLoop writes the server's entry every heartbeat. Servers report at different moments.
 func (s *server) reportLoop() {
+	time.Sleep(rand.N(heartbeat))
 	t := time.NewTicker(heartbeat)
 	defer t.Stop()
 	for {
@@ -69,10 +71,21 @@
 	}
 }
 
-// report writes the server's entry.
+// leave removes the server's entry; it serves on.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = ""
+	s.w.putServer(s.id, nil)
+}
+
+// report writes the server's entry, unless it has left.
 func (s *server) report() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.state == "" {
+		return
+	}
 	s.sequence++
 	s.w.putServer(s.id, map[string]any{
 		"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": s.slots,
