--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -19,6 +19,7 @@
 	"config-restore": configRestore,
 	"pipelined-cut":  pipelinedCut,
 	"paged-restart":  pagedRestart,
+	"interim":        interimResponses,
 }
 
 func main() { os.Exit(play()) }
