--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -37,6 +37,7 @@
 
 	mu       sync.Mutex
 	running  int
+	arrived  int
 	sequence int64
 	state    string
 	stopped  chan struct{}
@@ -71,6 +72,14 @@
 	}
 }
 
+// drain reports that the server drains.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.report()
+}
+
 // leave removes the server's entry; it serves on.
 func (s *server) leave() {
 	s.mu.Lock()
@@ -97,6 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load = fmt.Sprintf("%d,0,%d", s.running, s.slots)
+	s.arrived++
 	if s.running >= s.slots {
 		return load, false
 	}
@@ -104,6 +114,13 @@
 	return load, true
 }
 
+// arrivals returns how many requests have arrived.
+func (s *server) arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrived
+}
+
 func (s *server) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
