--- a/review/harness2/interim.go
+++ b/review/harness2/interim.go
@@ -15,7 +15,7 @@
 // The clients together send as often as those of balance-read on dhoop-sunbooth, 487 a second.
 const (
 	interimServers = 12
-	interimCount   = 8
+	interimCount   = 14
 	minWork        = 10 * time.Millisecond
 	workSpread     = 5 * time.Millisecond
 	slowFactor     = 8
