--- a/review/harness2/interim.go
+++ b/review/harness2/interim.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,6 +125,7 @@
 	}
 	stopped.Store(true)
 	clients.Wait()
+	ends += w.restartEnded()
 	arrivals := 0
 	for _, s := range servers {
 		arrivals += s.arrivals()
@@ -138,7 +142,7 @@
 		select {
 		case <-in.exited:
 			n++
-			w.logf("instance %s ended by itself: %v", in.id, in.exitErr)
+			w.logf("instance %s ended by itself: %v, %s", in.id, in.exitErr, in.lastWords())
 			time.Sleep(restartDelay)
 			_ = w.startInstance(in)
 		default:
@@ -146,3 +150,23 @@
 	}
 	return n
 }
+
+// lastWords returns the last line in the log of the process with which the runtime ends it.
+func (in *instance) lastWords() (line string) {
+	f, err := os.Open(in.log)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = f.Close() }()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "fatal error: ") || strings.HasPrefix(lines.Text(), "panic: ") {
+			line = lines.Text()
+		}
+	}
+	return line
+}
+
+// maxLogLine is the length of the longest line that lastWords reads.
+const maxLogLine = 1 << 20
