--- a/pkg/cluster/catalogfetch.go
+++ b/pkg/cluster/catalogfetch.go
@@ -154,7 +154,8 @@
 		c.forwardEntries(now, base)
 	}
 	if len(r.Entries) > 0 {
-		c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)))
+		c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)),
+			zap.Uint64s("after", base[:]), zap.Uint64s("position", r.Position[:]))
 		c.assembleTables(sourceFetch)
 	}
 }
--- a/pkg/cluster/feedread.go
+++ b/pkg/cluster/feedread.go
@@ -185,10 +185,26 @@
 		c.discovery.catalog.Replace(now, t, read.Entries, read.Version)
 		c.discovery.synced[t] = true
 	})
-	c.cfg.Log.Info("read a snapshot of the feed", zap.Stringer("topic", t), zap.Int("entries", len(read.Entries)), zap.Duration("took", time.Since(sent)))
+	c.cfg.Log.Info("read a snapshot of the feed", zap.Stringer("topic", t), zap.Int("entries", len(read.Entries)), zap.Duration("took", time.Since(sent)),
+		zap.Uint64("version", read.Version), zap.Uint64("newest_entry", newestVersion(read.Entries)), zap.Uint64("position", c.positionOf(t)))
 	return nil
 }
 
+// newestVersion returns the highest version of entries, or 0 without any.
+func newestVersion(entries []catalog.Entry) (newest uint64) {
+	for i := range entries {
+		newest = max(newest, entries[i].Version)
+	}
+	return newest
+}
+
+// positionOf returns the version up to which this instance has all entries of t.
+func (c *Cluster) positionOf(t catalog.Topic) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.discovery.catalog.Position()[t]
+}
+
 // applyRead applies a read of t that was sent at a time, by calling apply with mu held,
 // and announces what is new to the other members.
 func (c *Cluster) applyRead(t catalog.Topic, sent time.Time, read *platform.FeedRead, apply func(now time.Time)) {
