--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -16,7 +16,8 @@
 // target's, or that its clock has been set back.
 const lateWriteWindow = 30 * time.Second
 
-// Position is, for each topic, the version up to which a catalog is complete.
+// Position is, for each topic, the version up to which a catalog is complete. Entries may be
+// of later versions: those of the later pages of a snapshot are.
 type Position [TopicCount]uint64
 
 // Behind reports whether p is lower than other in any topic.
@@ -127,7 +128,8 @@
 	}
 }
 
-// Replace applies a snapshot of the topic t: all its entries as of version.
+// Replace applies a snapshot of the topic t: all its entries as of version, some of which may
+// have been replaced by later ones.
 // Entries that the snapshot lacks are removed. A snapshot older than the catalog's
 // position is ignored. It reports whether the snapshot is of a later generation of the
 // store than what was known.
@@ -170,7 +172,6 @@
 	}
 	old := c.entries[e.Topic][e.Key]
 	e = checked(e, old)
-	c.position[e.Topic] = max(c.position[e.Topic], e.Version)
 	switch {
 	case old == nil && e.Version < c.snapshotVersion[e.Topic]:
 		// The snapshot lacks the key: e is a late response of before.
