What an instance tells another includes the removals that it never saw

It told others the entries after their position and that these were complete, and they took over its position.

Change: the catalog knows from which version on it holds all removals. Where a receiver is not behind, nothing is added. An instance of an earlier build ignores the field.

Packages catalog, cluster, platform, peer/instance and test pass.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -80,8 +80,9 @@
 	position Position
 	// deferUntil is, for each topic, when removals are no longer deferred.
 	deferUntil [TopicCount]time.Time
-	// snapshotVersion is, for each topic, the version of the last snapshot.
-	snapshotVersion Position
+	// removalsFrom is, for each topic, the version of the last snapshot, of the store or of
+	// another catalog: the entries hold all removals after it.
+	removalsFrom Position
 	// changed is set when the entries have changed since the last call of Assemble.
 	changed bool
 	// oldestChange is a time at which the store held none of the changes since the last
@@ -117,14 +118,22 @@
 	c.position[t] = max(c.position[t], upTo)
 }
 
-// MergeAll applies entries of any topics, which make the catalog complete up to the
-// position p.
-func (c *Catalog) MergeAll(now time.Time, entries []Entry, p Position) {
+// MergeAll applies entries of any topics from another catalog, which make the catalog complete
+// up to the position p. Of the topics in live, it removes what the other catalog lacks.
+func (c *Catalog) MergeAll(now time.Time, entries []Entry, live LiveKeys, p Position) {
+	for t, list := range live {
+		if list != nil {
+			c.removeUnlisted(now, Topic(t), list.Keys, entries, p[t])
+		}
+	}
 	for i := range entries {
 		c.apply(now, &entries[i])
 	}
 	for t := range p {
 		c.position[t] = max(c.position[t], p[t])
+		if live[t] != nil {
+			c.removalsFrom[t] = max(c.removalsFrom[t], p[t])
+		}
 	}
 }
 
@@ -137,21 +146,9 @@
 	if version < c.position[t] {
 		return false
 	}
-	restored = c.position[t] > 0 && GenerationOf(version) > GenerationOf(c.position[t])
-	if restored {
-		c.StoreRecovered(now, t)
-	}
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		present[e.Key] = true
-	}
-	for key, stored := range c.entries[t] {
-		if !present[key] && !stored.Removed {
-			c.apply(now, &Entry{Topic: t, Key: key, Version: version, Removed: true})
-		}
-	}
+	restored = c.removeUnlisted(now, t, nil, entries, version)
 	c.Merge(now, t, entries, version)
-	c.snapshotVersion[t] = version
+	c.removalsFrom[t] = version
 	return restored
 }
 
@@ -173,8 +170,8 @@
 	old := c.entries[e.Topic][e.Key]
 	e = checked(e, old)
 	switch {
-	case old == nil && e.Version < c.snapshotVersion[e.Topic]:
-		// The snapshot lacks the key: e is a late response of before.
+	case old == nil && e.Version < c.removalsFrom[e.Topic]:
+		// The snapshot lacked the key: e is a late response of before.
 		return
 	case old != nil && e.Version <= old.Version && !old.isRestoredBefore(e):
 		return
@@ -254,7 +251,8 @@
 }
 
 // EntriesAfter returns the entries with versions above p, ordered by topic and
-// version, for an instance that does not receive them from the store. A deferred
+// version, for an instance that does not receive them from the store; see LiveKeysFor for
+// removals that they don't hold. A deferred
 // removal is returned with the delay that remains at now, and a target with the
 // ColdRemaining that remains at now. The Age of a deferred entry is not known.
 func (c *Catalog) EntriesAfter(now time.Time, p Position) []Entry {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -226,7 +226,7 @@
 	first.StoreRecovered(at(10*time.Second), Targets)
 	first.Merge(at(10*time.Second), Targets, []Entry{removal("t1", 10)}, 10)
 	now := at(11 * time.Second)
-	second.MergeAll(now, first.EntriesAfter(now, second.Position()), first.Position())
+	second.MergeAll(now, first.EntriesAfter(now, second.Position()), LiveKeys{}, first.Position())
 	second.ApplyDeferred(now)
 	if second.Assemble() != nil {
 		t.Error("the target whose removal is deferred was removed at once")
@@ -247,7 +247,7 @@
 			cold.Target.ColdRemaining = 10 * time.Second
 			first.Merge(at(0), Targets, []Entry{cold}, 10)
 			now := at(delay)
-			second.MergeAll(now, first.EntriesAfter(now, second.Position()), first.Position())
+			second.MergeAll(now, first.EntriesAfter(now, second.Position()), LiveKeys{}, first.Position())
 			want, got := at(10*time.Second), second.Assemble().Pools[0].Targets[0].ColdUntil
 			if delay > cold.Target.ColdRemaining {
 				want = time.Time{}
@@ -290,7 +290,7 @@
 	if len(passedOn) != 1 || passedOn[0].Age != 1100*time.Millisecond {
 		t.Fatalf("passed on %+v, want one entry with an age of 1.1 s", passedOn)
 	}
-	member.MergeAll(at(3*time.Second), passedOn, reader.Position())
+	member.MergeAll(at(3*time.Second), passedOn, LiveKeys{}, reader.Position())
 	if since, ok := member.TakeOldestChange(); !ok || since != at(1900*time.Millisecond) {
 		t.Errorf("oldest change %v, %v; want 1.1 s before it was applied", since, ok)
 	}
--- a/pkg/catalog/check_test.go
+++ b/pkg/catalog/check_test.go
@@ -204,7 +204,7 @@
 		c := withTargets(1)
 		e := target("t2", 9)
 		e.Topic = topic
-		c.MergeAll(at(time.Second), []Entry{e}, c.Position())
+		c.MergeAll(at(time.Second), []Entry{e}, LiveKeys{}, c.Position())
 		if used := activeTargets(c.Assemble()); len(used) != 1 {
 			t.Errorf("topic %d: targets %v, want t1", topic, used)
 		}
--- a/pkg/catalog/generation_test.go
+++ b/pkg/catalog/generation_test.go
@@ -204,7 +204,7 @@
 	if !cutOff.Position().Behind(reader.Position()) {
 		t.Fatal("the instance that is cut off is not behind")
 	}
-	cutOff.MergeAll(now, reader.EntriesAfter(now, cutOff.Position()), reader.Position())
+	cutOff.MergeAll(now, reader.EntriesAfter(now, cutOff.Position()), LiveKeys{}, reader.Position())
 	if cutOff.Position() != reader.Position() {
 		t.Errorf("positions %v and %v", cutOff.Position(), reader.Position())
 	}
--- a/pkg/catalog/pages_test.go
+++ b/pkg/catalog/pages_test.go
@@ -26,7 +26,7 @@
 func TestEntriesDoNotMoveThePositionOfTheirReceiver(t *testing.T) {
 	first, second := withTargets(1), withTargets(1)
 	first.Replace(at(0), Targets, []Entry{target("t1", 2), target("t2", 12)}, 10)
-	second.MergeAll(at(0), first.EntriesAfter(at(0), second.Position()), first.Position())
+	second.MergeAll(at(0), first.EntriesAfter(at(0), second.Position()), LiveKeys{}, first.Position())
 	if got := second.Position()[Targets]; got != 10 {
 		t.Errorf("the receiver is complete up to %d, want 10 like the sender", got)
 	}
--- a/pkg/catalog/patch_test.go
+++ b/pkg/catalog/patch_test.go
@@ -57,7 +57,7 @@
 			if patched, ok := reader.Patched(entries, base); ok && learner.CanApply(patched) {
 				entries = patched
 			}
-			learner.MergeAll(at(0), entries, reader.Position())
+			learner.MergeAll(at(0), entries, LiveKeys{}, reader.Position())
 			if got, want := learner.config(), reader.config(); !reflect.DeepEqual(got, want) {
 				t.Fatalf("version %d: learnt %+v, want %+v", version, got, want)
 			}
@@ -76,14 +76,14 @@
 	if behind.CanApply([]Entry{patch}) || New().CanApply([]Entry{patch}) {
 		t.Error("a patch counts as applicable without the configuration that it is for")
 	}
-	behind.MergeAll(at(0), []Entry{patch}, Position{})
+	behind.MergeAll(at(0), []Entry{patch}, LiveKeys{}, Position{})
 	if got := behind.config().Version; got != 3 || behind.Position()[Operators] != 3 {
 		t.Errorf("after a patch that is not for it: configuration %d at %v", got, behind.Position())
 	}
 	if !ahead.CanApply([]Entry{patch}) {
 		t.Error("an outdated patch counts as missing")
 	}
-	ahead.MergeAll(at(0), []Entry{patch}, Position{5})
+	ahead.MergeAll(at(0), []Entry{patch}, LiveKeys{}, Position{5})
 	if got := ahead.config().Version; got != 6 {
 		t.Errorf("an outdated patch has taken configuration %d in the place of 6", got)
 	}
@@ -117,7 +117,7 @@
 		writer.Merge(at(4*time.Second), Operators, []Entry{routesConfig(VersionOf(2, 5), 6, "a", "new", "c", "d", "f")}, VersionOf(2, 5))
 		patched, ok := writer.Patched(writer.EntriesAfter(at(4*time.Second), base), base)
 		if ok && learner.CanApply(patched) {
-			learner.MergeAll(at(4*time.Second), patched, writer.Position())
+			learner.MergeAll(at(4*time.Second), patched, LiveKeys{}, writer.Position())
 			t.Errorf("writer knows the later one: %v: a patch results in %+v, want %+v", writerKnowsLater, learner.config(), writer.config())
 		}
 	}
@@ -137,7 +137,7 @@
 	if !ok || !learner.CanApply(patched) {
 		t.Fatalf("patched %v: an instance that has all entries before needs the whole configuration", ok)
 	}
-	learner.MergeAll(at(time.Second), patched, reader.Position())
+	learner.MergeAll(at(time.Second), patched, LiveKeys{}, reader.Position())
 	if got := learner.config(); !reflect.DeepEqual(got, reader.config()) || learner.Position() != reader.Position() {
 		t.Errorf("%+v at %v, want %+v at %v", got, learner.Position(), reader.config(), reader.Position())
 	}
@@ -160,7 +160,7 @@
 		if !ok || !learner.CanApply(patched) {
 			t.Fatalf("%d versions behind: patched %v, and not applicable", behind, ok)
 		}
-		learner.MergeAll(at(0), patched, reader.Position())
+		learner.MergeAll(at(0), patched, LiveKeys{}, reader.Position())
 		if !reflect.DeepEqual(learner.config(), reader.config()) {
 			t.Errorf("%d versions behind: %+v, want %+v", behind, learner.config(), reader.config())
 		}
--- a/pkg/catalog/workspaces_test.go
+++ b/pkg/catalog/workspaces_test.go
@@ -39,7 +39,7 @@
 func TestWithdrawnKeyDoesNotComeBack(t *testing.T) {
 	old := withKeys(VersionOf(1, 3), 3, "a", "b")
 	for name, learn := range map[string]func(c *Catalog){
-		"older entry": func(c *Catalog) { c.MergeAll(at(time.Second), []Entry{old}, Position{}) },
+		"older entry": func(c *Catalog) { c.MergeAll(at(time.Second), []Entry{old}, LiveKeys{}, Position{}) },
 		"snapshot":    func(c *Catalog) { c.Replace(at(time.Second), Operators, []Entry{old}, VersionOf(1, 3)) },
 		"restore": func(c *Catalog) {
 			c.Replace(at(time.Second), Operators, []Entry{withKeys(VersionOf(2, 3), 3, "a", "b")}, VersionOf(2, 4))
@@ -50,7 +50,7 @@
 			p := writer.Position()
 			writer.Merge(at(0), Operators, []Entry{old}, VersionOf(1, 3))
 			if patched, ok := writer.Patched(writer.EntriesAfter(at(0), p), p); ok {
-				c.MergeAll(at(time.Second), patched, writer.Position())
+				c.MergeAll(at(time.Second), patched, LiveKeys{}, writer.Position())
 			}
 		},
 	} {
@@ -86,7 +86,7 @@
 	if earlier.CanApply(patched) {
 		t.Error("an instance of an earlier release applies the patch")
 	}
-	learner.MergeAll(at(0), patched, writer.Position())
+	learner.MergeAll(at(0), patched, LiveKeys{}, writer.Position())
 	if keys := keysOf(learner); len(keys) != 2 {
 		t.Errorf("keys %v", keys)
 	}
@@ -137,12 +137,12 @@
 	running.Replace(at(time.Second), Operators, restored, VersionOf(2, 4))
 	started.Replace(at(time.Second), Operators, restored, VersionOf(2, 4))
 	entries := running.EntriesAfter(at(time.Second), Position{})
-	started.MergeAll(at(time.Second), entries, running.Position())
+	started.MergeAll(at(time.Second), entries, LiveKeys{}, running.Position())
 	if keys := keysOf(started); len(keys) != 1 || keys[0] != table.DigestKey("b") {
 		t.Errorf("keys %v", keys)
 	}
 	back := withKeys(VersionOf(2, 3), 3, "a")
-	started.MergeAll(at(2*time.Second), []Entry{back}, running.Position())
+	started.MergeAll(at(2*time.Second), []Entry{back}, LiveKeys{}, running.Position())
 	if keys := keysOf(started); keys != nil {
 		t.Errorf("the copy has put keys %v back", keys)
 	}
--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -48,7 +48,10 @@
 // newAnnouncement returns an announcement by this instance that its copy of the feeds has
 // no changes after base, to which the changes can be added. The caller holds mu.
 func (c *Cluster) newAnnouncement(now time.Time, base catalog.Position) announcement {
-	q := &instance.AnnounceRequest{From: c.view.Self(), BasePosition: base, CatalogPosition: c.catalogPosition(), FeedFreshness: c.feedFreshness(now)}
+	q := &instance.AnnounceRequest{
+		From: c.view.Self(), BasePosition: base, CatalogPosition: c.catalogPosition(), FeedFreshness: c.feedFreshness(now),
+		Live: c.discovery.catalog.LiveKeysFor(base),
+	}
 	return announcement{request: q, madeAt: now}
 }
 
@@ -327,14 +330,15 @@
 		rest := *q
 		usable, upTo := c.discovery.catalog.WithoutOperators(entries, q.CatalogPosition)
 		rest.CatalogPosition, rest.Entries = upTo, instance.NewEncodedEntries(usable)
+		rest.Live[catalog.Operators] = nil
 		q, entries = &rest, usable
 	}
 	if (len(entries) > 0 || q.HasFeedReader) && !base.Behind(q.BasePosition) {
-		c.discovery.catalog.MergeAll(now, entries, q.CatalogPosition)
+		c.discovery.catalog.MergeAll(now, entries, q.Live, q.CatalogPosition)
 	}
 	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
 	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, senior)
-	if len(entries) == 0 || c.discovery.catalog.Position() == base {
+	if len(entries) == 0 && q.Live == (catalog.LiveKeys{}) || c.discovery.catalog.Position() == base {
 		return
 	}
 	if base == q.BasePosition {
--- a/pkg/cluster/catalogfetch.go
+++ b/pkg/cluster/catalogfetch.go
@@ -144,7 +144,7 @@
 	if c.discovery.mayHaveKeptEntries(r.Position) {
 		c.discovery.mayLackKeptEntries = false
 	}
-	c.discovery.catalog.MergeAll(now, r.Entries, r.Position)
+	c.discovery.catalog.MergeAll(now, r.Entries, r.Live, r.Position)
 	c.observeFreshness(sent, r.FeedFreshness, r.Position, false)
 	if c.actsAsReader(now) {
 		// The other members rely on this instance, whether the store or another
@@ -153,9 +153,9 @@
 	} else {
 		c.forwardEntries(now, base)
 	}
-	if len(r.Entries) > 0 {
+	if len(r.Entries) > 0 || r.Live != (catalog.LiveKeys{}) {
 		c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)),
-			zap.Uint64s("after", base[:]), zap.Uint64s("position", r.Position[:]))
+			zap.Uint64s("after", base[:]), zap.Uint64s("position", r.Position[:]), zap.Bool("with_live_keys", r.Live != (catalog.LiveKeys{})))
 		c.assembleTables(sourceFetch)
 	}
 }
@@ -173,7 +173,10 @@
 	if patched, ok := c.discovery.catalog.Patched(entries, q.HavePosition); ok && q.AcceptsPatches {
 		entries = patched
 	}
-	return &instance.CatalogReply{Entries: entries, Position: c.discovery.catalog.Position(), FeedFreshness: c.feedFreshness(now)}, nil
+	return &instance.CatalogReply{
+		Entries: entries, Position: c.discovery.catalog.Position(), Live: c.discovery.catalog.LiveKeysFor(q.HavePosition),
+		FeedFreshness: c.feedFreshness(now),
+	}, nil
 }
 
 // pullLoop requests the entries of the other cells while this instance reads for its
--- a/pkg/cluster/fakefeed_test.go
+++ b/pkg/cluster/fakefeed_test.go
@@ -205,13 +205,13 @@
 }
 
 // latestByKey returns the last of the entries of each key, in their order: a snapshot has one
-// row of each.
+// row of each, and none of a key whose row was removed.
 func latestByKey(entries []catalog.Entry) []catalog.Entry {
 	last := map[string]uint64{}
 	for _, e := range entries {
 		last[e.Key] = e.Version
 	}
-	return slices.DeleteFunc(slices.Clone(entries), func(e catalog.Entry) bool { return e.Version != last[e.Key] })
+	return slices.DeleteFunc(slices.Clone(entries), func(e catalog.Entry) bool { return e.Removed || e.Version != last[e.Key] })
 }
 
 // response returns a response of the store at this moment.
--- a/pkg/cluster/feedreader_test.go
+++ b/pkg/cluster/feedreader_test.go
@@ -50,7 +50,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			receiver, _ := newAnnouncer(nil)
-			receiver.discovery.catalog.MergeAll(time.Now(), nil, known)
+			receiver.discovery.catalog.MergeAll(time.Now(), nil, catalog.LiveKeys{}, known)
 			receiver.mu.Lock()
 			defer receiver.mu.Unlock()
 			receiver.applyEntries(time.Now(), &c.q)
--- a/pkg/cluster/pagedsnapshot_test.go
+++ b/pkg/cluster/pagedsnapshot_test.go
@@ -90,3 +90,61 @@
 		}
 	})
 }
+
+// TestTargetRemovedWhileTheReaderRestartsIsNotUsed guards against requests to targets that are
+// removed between the end of the instance that reads for the others and its first read after
+// the restart: its snapshot holds no removals, and the others learn from it what is new.
+func TestTargetRemovedWhileTheReaderRestartsIsNotUsed(t *testing.T) {
+	for _, n := range []int{5, leaveBounds[2].instances} {
+		runWithFeeds(t, n, func(t *testing.T, tc *testCluster, r *fakeFeedStore) {
+			r.setTarget("gone", true)
+			r.write(catalog.Entry{Topic: catalog.Operators, Key: "evacuate/a", EvacuatedZone: "a"})
+			time.Sleep(settleTime)
+			reader := tc.firstReader(t)
+			tc.kill(reader)
+			r.setTarget("gone", false)
+			r.write(catalog.Entry{Topic: catalog.Operators, Key: "evacuate/a", Removed: true})
+			tc.start(reader.self.ID, reader.cfg.Self.Zone)
+			time.Sleep(500 * time.Millisecond)
+			r.setTarget("new", true)
+			r.write(largeConfig(2, 3))
+			waitFor(t, maxFeedDelay, "the new target and configuration in use", func() bool { return tc.allHaveTarget("new", true) && tc.configInForce(2) })
+			time.Sleep(time.Second)
+			for _, node := range tc.nodes {
+				if node.hasTarget("gone") {
+					t.Errorf("%d instances: %s still uses the target that was removed", n, node.self.ID)
+				}
+				if node.evacuates("new") {
+					t.Errorf("%d instances: %s still evacuates the zone", n, node.self.ID)
+				}
+			}
+		})
+	}
+}
+
+// firstReader returns the instance that reads the feeds for the others.
+func (tc *testCluster) firstReader(t *testing.T) *testNode {
+	t.Helper()
+	for _, n := range tc.nodes {
+		n.mu.Lock()
+		first := n.currentTree(time.Now()).Position(n.self.ID) == 0
+		n.mu.Unlock()
+		if first {
+			return n
+		}
+	}
+	t.Fatal("nobody reads for the others")
+	return nil
+}
+
+// evacuates reports whether the tables in force drain the target.
+func (n *testNode) evacuates(target string) bool {
+	for _, p := range n.Tables().Pools {
+		for _, tg := range p.Targets {
+			if tg.Name == target && tg.Drain {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/peer/instance/messages.go
+++ b/pkg/peer/instance/messages.go
@@ -157,6 +157,8 @@
 	BasePosition    catalog.Position `json:"base,omitzero"`
 	CatalogPosition catalog.Position `json:"catalog,omitzero"`
 	Entries         *EncodedEntries  `json:"entries,omitempty"`
+	// Live is set for the topics of which Entries may lack removals.
+	Live catalog.LiveKeys `json:"live,omitzero"`
 	FeedFreshness
 	// MembersDigest is the digest of the members that the sender, a watcher or
 	// relay, considers alive. It is set if they have just changed. A receiver
@@ -242,6 +244,8 @@
 type CatalogReply struct {
 	Entries  []catalog.Entry  `json:"entries,omitempty"`
 	Position catalog.Position `json:"position"`
+	// Live is set for the topics of which Entries may lack removals.
+	Live catalog.LiveKeys `json:"live,omitzero"`
 	FeedFreshness
 }
 
