Of two configurations the one with the higher number counts

Cause: the catalog compared the number of a configuration with that in force only for the first row of a new generation of the store. Each one written again is a further row of that generation with a higher version, and replaced the one in force although its number was lower. It stays so until the next one is written and read.

Change: the number decides, whatever the versions of the entries; the entry keeps the highest version, so that positions go on. The same between instances: one that has started from the copy and read a row that was written again takes over what another has kept under a lower version, and a patch to a higher number is not passed over as older (the instance asks for the whole).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -156,8 +156,9 @@
 // The removal of a target is deferred if e has a removal delay or the store has
 // just recovered. An entry that its target wrote before the one stored, or that only an
 // older copy of the store contains, only raises the version, as does one of the operators
-// that is unreadable. An entry of no topic is ignored, and so is a patch that is not for the
-// configuration of the catalog; see CanApply.
+// that is unreadable. Of two configurations the one with the higher number counts, whatever
+// the versions of their entries. An entry of no topic is ignored, and so is a patch that is
+// not for the configuration of the catalog; see CanApply.
 func (c *Catalog) apply(now time.Time, e *Entry) {
 	if !e.Topic.valid() {
 		c.refused.add(e.Key)
@@ -173,7 +174,7 @@
 	case old == nil && e.Version < c.removalsFrom[e.Topic]:
 		// The snapshot lacked the key: e is a late response of before.
 		return
-	case old != nil && e.Version <= old.Version && !old.isRestoredBefore(e):
+	case old != nil && e.Version <= old.Version && !old.hasOlderConfigThan(e):
 		return
 	}
 	if e.Unreadable {
@@ -184,6 +185,9 @@
 		return
 	}
 	stored := &storedEntry{Entry: *e, appliedAt: now, lastTarget: e.Target, lastPut: StoredVersionOf(e.Version)}
+	if old != nil {
+		stored.Version = max(e.Version, old.Version)
+	}
 	if (e.Removed || e.Unreadable) && old != nil {
 		stored.lastTarget, stored.lastPut = old.lastTarget, old.lastPut
 	}
@@ -203,9 +207,14 @@
 	c.changed = true
 }
 
-// replaces reports whether e, which has a higher version, takes the place of old now.
+// replaces reports whether e, which has a higher version or a configuration of a higher
+// number, takes the place of old now.
 func (c *Catalog) replaces(now time.Time, old *storedEntry, e *Entry) bool {
-	if e.Unreadable && e.Topic == Operators {
+	switch {
+	case e.Unreadable && e.Topic == Operators:
+		return false
+	case old.Config != nil && (e.Config == nil || e.Config.Version < old.Config.Version):
+		c.kept.Configs++
 		return false
 	}
 	if GenerationOf(e.Version) > GenerationOf(old.Version) && c.reconcile(now, old, e) {
--- a/pkg/catalog/generation.go
+++ b/pkg/catalog/generation.go
@@ -38,7 +38,8 @@
 // for three of its intervals, and a target that lives writes again.
 const reappearGrace = 6 * time.Second
 
-// Kept counts what a catalog has kept against an older copy of the store.
+// Kept counts what a catalog has kept against an older copy of the store, or against older
+// configurations that are written again.
 type Kept struct {
 	Configs, Evacuations, Targets int
 }
@@ -48,7 +49,6 @@
 // reconcile decides on e, the first word of a later generation of the store about the key
 // of old. It reports true if e is only what the older copy says, and what is known stays:
 //
-//   - a configuration with a higher number than that of the copy,
 //   - a target's state that the target has written later than that of the copy,
 //   - that a target is gone, for reappearGrace, unless it has written since,
 //   - an evacuation that the copy lacks, or its end if the copy still has the same one, for
@@ -57,9 +57,6 @@
 // A target that the copy lacks is kept for removalGrace by apply.
 func (c *Catalog) reconcile(now time.Time, old *storedEntry, e *Entry) (keep bool) {
 	switch {
-	case old.Config != nil && (e.Config == nil || e.Config.Version < old.Config.Version):
-		c.kept.Configs++
-		return true
 	case old.EvacuatedZone != "" && e.Removed:
 		c.kept.Evacuations++
 		old.deferTo(*e, now.Add(restoreGrace))
@@ -79,10 +76,12 @@
 	return false
 }
 
-// isRestoredBefore reports whether s holds the configuration of an older copy of the store, in
-// whose place another instance has kept e, under the same version.
-func (s *storedEntry) isRestoredBefore(e *Entry) bool {
-	return e.Version == s.Version && e.Config != nil && s.Config != nil && e.Config.Version > s.Config.Version
+// hasOlderConfigThan reports whether s and e hold configurations and that of e has the higher
+// number. After a restore of the store, the versions of their entries don't tell that: instances
+// keep a later configuration than that of the copy under the version of its entry, and the
+// operators write those that the copy lacks again, each as a new row.
+func (s *storedEntry) hasOlderConfigThan(e *Entry) bool {
+	return e.Config != nil && s.Config != nil && e.Config.Version > s.Config.Version
 }
 
 // olderThan reports whether the target wrote t before o. Registrations without a start
--- a/pkg/catalog/patch.go
+++ b/pkg/catalog/patch.go
@@ -153,13 +153,19 @@
 			continue
 		}
 		old := c.entries[e.Topic][e.Key]
-		if old == nil || e.Version > old.Version && !old.isBaseOf(e.Patch) {
+		if old == nil || (e.Version > old.Version || old.isOlderThanPatch(e.Patch)) && !old.isBaseOf(e.Patch) {
 			return false
 		}
 	}
 	return true
 }
 
+// isOlderThanPatch reports whether p results in a configuration of a higher number than that of
+// s.
+func (s *storedEntry) isOlderThanPatch(p *ConfigPatch) bool {
+	return s.Config != nil && p.Version > s.Config.Version
+}
+
 // isBaseOf reports whether p is a patch for the configuration of s.
 func (s *storedEntry) isBaseOf(p *ConfigPatch) bool {
 	return s.Config != nil && p.Base != 0 && s.digest() == p.Base
--- a/pkg/cluster/discovery.go
+++ b/pkg/cluster/discovery.go
@@ -140,7 +140,7 @@
 func (c *Cluster) reportCatalog() {
 	d := c.discovery
 	if kept, ok := d.catalog.TakeKept(); ok {
-		c.cfg.Log.Info("kept what is newer than the restored copy of the platform's store",
+		c.cfg.Log.Info("kept what is newer than what the platform's store says after a restore",
 			zap.Int("configs", kept.Configs), zap.Int("evacuations", kept.Evacuations), zap.Int("targets", kept.Targets))
 	}
 	if refused, ok := d.catalog.TakeRefused(); ok {
