A response that ends with a reset connection is not complete beside an upload

Cause: a failure of a connection is reported once. While a request is written and its response read at the same time, the write may meet the reset; the read then returns an orderly end, and a body without a length ends with its connection. Nothing compared the two.

Change: at the end of such a body the reader interrupts a write in flight, waits for its result and takes the response for complete only if no write has met a failure. A write to a connection that the server has ended in order before it was gone fails with EPIPE, which is no failure of the response. All responses of targets and of other instances (hops), in both modes, pass through here, and so do refusals and probes; bodies with a length or in chunks have an end of their own.

--- a/pkg/peer/upstream/send.go
+++ b/pkg/peer/upstream/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,6 +92,9 @@
 	}
 	p.recordResponse(c, resp)
 	body := &eofTrackingBody{ReadCloser: resp.Body, eof: resp.Body == http.NoBody}
+	if endsWithConnection(resp) {
+		body.wire = c.wire
+	}
 	resp.Body = body
 	return &Response{Response: resp, pool: p, conn: c, stopCancel: stopCancel, writeDone: writeDone, body: body}, nil
 }
@@ -166,19 +170,35 @@
 	return nil, errTooManyInterim
 }
 
+// endsWithConnection reports whether the end of the body is that of the connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// errEndedByFailure is the error of a body that ends with its connection, which has failed.
+var errEndedByFailure = fmt.Errorf("connection failed before the end of the response: %w", io.ErrUnexpectedEOF)
+
 // eofTrackingBody records whether a response body has been read to its end.
 type eofTrackingBody struct {
 	io.ReadCloser
-	eof bool
+	// wire is the connection whose end is that of the body; nil for a body that has an end of
+	// its own.
+	wire *wireConn
+	eof  bool
 }
 
-// Read reads from the body and records EOF.
+// Read reads from the body and records EOF. It returns errEndedByFailure in place of io.EOF if
+// that was the end of a connection which has failed.
 func (b *eofTrackingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.eof = true
+	if err != io.EOF {
+		return n, err
+	}
+	if b.wire != nil && !b.eof && !b.wire.endedInOrder() {
+		return n, errEndedByFailure
 	}
-	return n, err
+	b.eof = true
+	return n, io.EOF
 }
 
 // classifyFailure returns the reason for which an exchange failed with err.
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -1,7 +1,10 @@
 package upstream
 
 import (
+	"errors"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,6 +33,9 @@
 	// readFailed is set when a read fails, for instance because the server has closed
 	// the connection.
 	readFailed atomic.Bool
+	// writeMu is held during a write, and guards writeErr, the first error of one.
+	writeMu  sync.Mutex
+	writeErr error
 	// headerBytesLeft is how many bytes of the current header may still be read;
 	// negative means no limit.
 	headerBytesLeft int64
@@ -97,13 +103,40 @@
 			return 0, err
 		}
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.writeThrough(b)
 	if first && n == 0 && err != nil {
 		c.writeStarted.Store(false)
 	}
 	return n, err
 }
 
+// writeThrough writes b to the connection and records the first error.
+func (c *wireConn) writeThrough(b []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endedInOrder reports whether the server has ended the connection in order, after a read has
+// returned io.EOF. A connection that fails reports that only once: if a write meets the error,
+// reads see an orderly end. So it interrupts a write in flight and waits for its result; nothing
+// can be written to the connection afterwards.
+func (c *wireConn) endedInOrder() bool {
+	_ = c.SetWriteDeadline(pastDeadline)
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	switch {
+	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return true
+	}
+	// The error of a connection that the server ended in order before it failed.
+	return errors.Is(c.writeErr, syscall.EPIPE)
+}
+
 // Read reads into b within the limits on the header and records the outcome.
 func (c *wireConn) Read(b []byte) (int, error) {
 	if c.headerBytesLeft == 0 {
