An evacuation kept after a restore lasts until the operators could write it again

The absence of an entry whose removal is already pending says nothing new.

TestEvacuationKeptAfterARestoreIsNotEndedByAnInstanceThatKnowsOnlyTheCopy failed before. Package catalog passes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -58,6 +58,9 @@
 	s.deferred, s.deferredUntil = &e, at
 }
 
+// isBeingRemoved reports whether the entry is kept only for a while.
+func (s *storedEntry) isBeingRemoved() bool { return s.deferred != nil && s.deferred.Removed }
+
 // at returns the entry with its Age and the ColdRemaining that remains at now.
 func (s *storedEntry) at(now time.Time) Entry {
 	e := s.Entry
@@ -138,10 +141,9 @@
 }
 
 // Replace applies a snapshot of the topic t: all its entries as of version, some of which may
-// have been replaced by later ones.
-// Entries that the snapshot lacks are removed. A snapshot older than the catalog's
-// position is ignored. It reports whether the snapshot is of a later generation of the
-// store than what was known.
+// have been replaced by later ones. Entries that the snapshot lacks are removed. A snapshot
+// older than the catalog's position is ignored. It reports whether the snapshot is of a later
+// generation of the store than what was known.
 func (c *Catalog) Replace(now time.Time, t Topic, entries []Entry, version uint64) (restored bool) {
 	if version < c.position[t] {
 		return false
@@ -261,9 +263,9 @@
 
 // EntriesAfter returns the entries with versions above p, ordered by topic and
 // version, for an instance that does not receive them from the store; see LiveKeysFor for
-// removals that they don't hold. A deferred
-// removal is returned with the delay that remains at now, and a target with the
-// ColdRemaining that remains at now. The Age of a deferred entry is not known.
+// removals that they don't hold. A deferred removal is returned with the delay that remains
+// at now, and a target with the ColdRemaining that remains at now. The Age of a deferred
+// entry is not known.
 func (c *Catalog) EntriesAfter(now time.Time, p Position) []Entry {
 	var out []Entry
 	for t := range c.entries {
--- a/pkg/catalog/livekeys.go
+++ b/pkg/catalog/livekeys.go
@@ -52,7 +52,11 @@
 		}
 	}
 	for key, stored := range c.entries[t] {
-		if !present[key] && !stored.Removed {
+		switch {
+		case present[key] || stored.Removed:
+		case stored.isBeingRemoved() && !restored:
+			stored.raise(max(version, stored.Version))
+		default:
 			c.apply(now, &Entry{Topic: t, Key: key, Version: version, Removed: true})
 		}
 	}
--- a/pkg/catalog/livekeys_test.go
+++ b/pkg/catalog/livekeys_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// TestEvacuationKeptAfterARestoreIsNotEndedByAnInstanceThatKnowsOnlyTheCopy: the operators
+// write it again.
+func TestEvacuationKeptAfterARestoreIsNotEndedByAnInstanceThatKnowsOnlyTheCopy(t *testing.T) {
+	kept, started := knowing(evacuation(before, 9)), New()
+	restore(kept, at(time.Second), Operators, config(VersionOf(after, 1), 1))
+	started.Replace(at(time.Second), Operators, []Entry{config(VersionOf(after, 1), 1)}, VersionOf(after, 7))
+	tell(at(2*time.Second), started, kept)
+	if !isEvacuated(kept, at(2*time.Second)) {
+		t.Error("the evacuation has ended before it could be written again")
+	}
+	if isEvacuated(kept, at(time.Second+restoreGrace)) {
+		t.Error("an evacuation that was not written again lasts for good")
+	}
+}
+
 // TestKeysAreListedOnlyForReceiversThatMayLackRemovals: the keys of all targets cost bytes.
 func TestKeysAreListedOnlyForReceiversThatMayLackRemovals(t *testing.T) {
 	c := New()
