--- a/pkg/catalog/livekeys.go
+++ b/pkg/catalog/livekeys.go
@@ -16,6 +16,9 @@
 	Keys []string `json:"keys,omitempty"`
 }
 
+// IsZero reports whether l lists the keys of no topic.
+func (l LiveKeys) IsZero() bool { return l == LiveKeys{} }
+
 // LiveKeysFor returns the keys that a receiver with all entries up to p needs beside the
 // entries after p to have all entries of the catalog and no others.
 func (c *Catalog) LiveKeysFor(p Position) (live LiveKeys) {
--- a/pkg/catalog/livekeys_test.go
+++ b/pkg/catalog/livekeys_test.go
@@ -56,7 +56,7 @@
 	c := New()
 	c.Replace(at(0), Targets, []Entry{target("t1", 2)}, 10)
 	c.Merge(at(0), Targets, []Entry{removal("t1", 11)}, 11)
-	if keys := c.LiveKeysFor(Position{Targets: 10}); keys != (LiveKeys{}) {
+	if keys := c.LiveKeysFor(Position{Targets: 10}); !keys.IsZero() {
 		t.Errorf("keys %v for a receiver that has what the snapshot held", keys)
 	}
 	if keys := c.LiveKeysFor(Position{Targets: 9}); keys[Targets] == nil || len(keys[Targets].Keys) != 0 || keys[Operators] != nil {
--- a/pkg/cluster/announcer.go
+++ b/pkg/cluster/announcer.go
@@ -338,7 +338,7 @@
 	}
 	c.fetchCatalogIfBehind(q.From, q.CatalogPosition)
 	c.observeFreshness(now, q.FeedFreshness, q.CatalogPosition, senior)
-	if len(entries) == 0 && q.Live == (catalog.LiveKeys{}) || c.discovery.catalog.Position() == base {
+	if len(entries) == 0 && q.Live.IsZero() || c.discovery.catalog.Position() == base {
 		return
 	}
 	if base == q.BasePosition {
--- a/pkg/cluster/catalogfetch.go
+++ b/pkg/cluster/catalogfetch.go
@@ -153,9 +153,9 @@
 	} else {
 		c.forwardEntries(now, base)
 	}
-	if len(r.Entries) > 0 || r.Live != (catalog.LiveKeys{}) {
+	if len(r.Entries) > 0 || !r.Live.IsZero() {
 		c.cfg.Log.Info("fetched catalog entries from another instance", zap.String("from", from.ID), zap.Int("entries", len(r.Entries)),
-			zap.Uint64s("after", base[:]), zap.Uint64s("position", r.Position[:]), zap.Bool("with_live_keys", r.Live != (catalog.LiveKeys{})))
+			zap.Uint64s("after", base[:]), zap.Uint64s("position", r.Position[:]), zap.Bool("with_live_keys", !r.Live.IsZero()))
 		c.assembleTables(sourceFetch)
 	}
 }
--- a/pkg/peer/upstream/wireconn.go
+++ b/pkg/peer/upstream/wireconn.go
@@ -129,12 +129,9 @@
 	_ = c.SetWriteDeadline(pastDeadline)
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	switch {
-	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
-		return true
-	}
-	// The error of a connection that the server ended in order before it failed.
-	return errors.Is(c.writeErr, syscall.EPIPE)
+	interrupted := errors.Is(c.writeErr, os.ErrDeadlineExceeded)
+	// A write gets EPIPE on a connection that the server had ended in order before it was gone.
+	return c.writeErr == nil || interrupted || errors.Is(c.writeErr, syscall.EPIPE)
 }
 
 // Read reads into b within the limits on the header and records the outcome.
