--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -71,6 +73,13 @@
 		}
 	}()
 	w = newWorld(log)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(exitCannotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.printf("scenario %s, trouble %t", name, trouble)
 	if scenarios[name](w, trouble) {
