--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -108,6 +108,8 @@
 	zone, region string
 	addresses    []string
 	until        time.Time
+	// onSend is called before a request is sent; nil for none.
+	onSend func(id, address string)
 }
 
 // send sends r to one of the addresses that the directory names.
@@ -118,7 +120,11 @@
 	if len(c.addresses) == 0 {
 		return answer{err: errors.New("the directory names no address")}
 	}
-	got := sendTo(c.addresses[rand.IntN(len(c.addresses))], r)
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	if c.onSend != nil {
+		c.onSend(r.id, address)
+	}
+	got := sendTo(address, r)
 	if got.err != nil {
 		c.until = time.Time{}
 	}
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,6 +30,10 @@
 	ver     uint64
 	rows    map[string]storeRow
 	changed chan struct{}
+	// era is sent in all answers; zero in scenarios without a drill. away is set while the store
+	// serves no call.
+	era  int
+	away bool
 }
 
 func newStore() *store {
@@ -77,6 +82,7 @@
 
 // answer writes rows, the newest version and the store's clock. The caller holds mu.
 func (s *store) answer(w http.ResponseWriter, status int, rows []storeRow) {
+	s.setEra(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{"Rows": rows, "Truncated": false, "Ver": s.ver, "NowS": time.Since(s.started).Seconds()})
@@ -86,6 +92,10 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		s.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/api/rows-get":
@@ -103,9 +113,17 @@
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	ver, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	if ver > s.ver {
+		s.refuse(w, http.StatusGone)
+		return
+	}
 	ms, _ := strconv.Atoi(q.Get("WaitMs"))
 	end := time.After(time.Duration(ms) * time.Millisecond)
 	for {
+		if s.away {
+			s.refuse(w, http.StatusServiceUnavailable)
+			return
+		}
 		rows, changed, expired := s.after(q.Get("Table"), ver, true), s.changed, false
 		if len(rows) > 0 {
 			s.answer(w, http.StatusOK, rows)
@@ -159,3 +177,42 @@
 	s.notify()
 	s.answer(w, http.StatusOK, []storeRow{})
 }
+
+// setEra sets the header that rises with each drill.
+func (s *store) setEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
+}
+
+// refuse answers with a status alone.
+func (s *store) refuse(w http.ResponseWriter, status int) {
+	s.setEra(w)
+	w.WriteHeader(status)
+}
+
+// storeCopy is a copy of the store.
+type storeCopy struct {
+	ver  uint64
+	rows map[string]storeRow
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.ver, maps.Clone(s.rows)}
+}
+
+// drill has the store be away for a moment and come back from c.
+func (s *store) drill(away time.Duration, c storeCopy) {
+	s.mu.Lock()
+	s.away = true
+	s.notify()
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver, s.rows, s.away = c.ver, c.rows, false
+	s.era++
+	s.notify()
+}
--- a/review/harness3/upstream.go
+++ b/review/harness3/upstream.go
@@ -19,6 +19,7 @@
 	headerLoad   = "Jacinthramp-Server-Load"
 	headerName   = "Jacinthramp-Instance-Id"
 	headerCold   = "Jacinthramp-Cold-Ms"
+	headerLeaves = "Server-Leaving"
 )
 
 // expiry is how long after an upstream has fallen silent its entry is removed: three status
@@ -42,6 +43,8 @@
 	listener          net.Listener
 	server            *http.Server
 	running, waiting  atomic.Int64
+	// leaving is set once the upstream leaves.
+	leaving atomic.Bool
 	// free holds a value for each free slot.
 	free               chan struct{}
 	started, coldUntil time.Time
@@ -128,8 +131,16 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set(headerName, u.id)
+	if u.leaving.Load() {
+		h.Set(headerLeaves, "1")
+		h.Set("Connection", "close")
+	}
 	if r.URL.Path == "/health" {
 		h.Set(headerLoad, u.load())
+		if u.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if left := time.Until(u.coldUntil); left > 0 {
 			h.Set(headerCold, fmt.Sprint(left.Milliseconds()))
 		}
@@ -210,6 +221,10 @@
 
 // answer answers the request with text.
 func (a *arrival) answer(text string) {
+	if a.u.leaving.Load() {
+		a.w.Header().Set(headerLeaves, "1")
+		a.w.Header().Set("Connection", "close")
+	}
 	a.w.Header().Set("Content-Length", fmt.Sprint(len(text)))
 	_, _ = io.WriteString(a.w, text)
 }
--- a/review/harness3/world.go
+++ b/review/harness3/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -91,11 +92,13 @@
 type machine struct {
 	name, zone, region string
 	world              *world
-	addr               map[string]string
-	file               string
-	cmd                *exec.Cmd
-	ended              chan struct{}
-	started            time.Time
+	// storeURL is the store's address for this machine alone; empty if it is that of all.
+	storeURL string
+	addr     map[string]string
+	file     string
+	cmd      *exec.Cmd
+	ended    chan struct{}
+	started  time.Time
 }
 
 // addMachine adds a machine and starts its process.
@@ -132,7 +135,7 @@
 	for _, name := range []string{"caller", "hop", "peer", "admin", "lookup", "ready"} {
 		fmt.Fprintf(&b, "  %s: %s\n", name, m.addr[name])
 	}
-	fmt.Fprintf(&b, "platform:\n  url: %s\n", m.world.url)
+	fmt.Fprintf(&b, "platform:\n  url: %s\n", cmp.Or(m.storeURL, m.world.url))
 	b.WriteString("limits:\n  dial_timeout: 400ms\n  memory_mb: 284\nprobe:\n  interval: 500ms\n  timeout: 300ms\n")
 	fmt.Fprintf(&b, "leave:\n  min_lookup_ttl: 3s\n  grace: %gs\n", grace.Seconds())
 	b.WriteString("dispatch:\n  mode: direct\n  shift_cap: 0.15\n  shift_window: 2s\n  retry_ratio: 0.12\n  retry_reserve: 20\nlookup:\n  max_ttl: 2s\n")
